--- a/source/benchmarks/claims_benchmark.cc
+++ b/source/benchmarks/claims_benchmark.cc
@@ -21,7 +21,7 @@
 #include <fmt/format.h>
 
 #include "core/claims/claim_book.h"
-#include "core/platform/in_memory_table.h"
+#include "core/store/in_memory_table.h"
 #include "core/reporting/call_recorder.h"
 
 namespace bulrushmount {
--- a/source/benchmarks/node_network.h
+++ b/source/benchmarks/node_network.h
@@ -22,7 +22,7 @@
 #include "core/common/time.h"
 #include "core/membership/member.h"
 #include "core/node_logic/node_logic.h"
-#include "core/platform/in_memory_table.h"
+#include "core/store/in_memory_table.h"
 
 namespace bulrushmount {
 
--- a/source/bulrushmountctl/ctl_options.h
+++ b/source/bulrushmountctl/ctl_options.h
@@ -11,7 +11,7 @@
 
 #include "core/common/endpoint.h"
 #include "core/common/time.h"
-#include "core/platform/table_types.h"
+#include "core/store/table_types.h"
 
 namespace bulrushmount {
 
--- a/source/core/claims/claim_book_state.h
+++ b/source/core/claims/claim_book_state.h
@@ -19,7 +19,7 @@
 #include "core/claims/store_breaker.h"
 #include "core/claims/write_batcher.h"
 #include "core/common/random.h"
-#include "core/platform/table_service.h"
+#include "core/store/table_service.h"
 
 namespace bulrushmount::detail {
 
--- a/source/core/claims/claim_sweeper.h
+++ b/source/core/claims/claim_sweeper.h
@@ -11,7 +11,7 @@
 #include "core/claims/claim_types.h"
 #include "core/common/random.h"
 #include "core/common/time.h"
-#include "core/platform/table_service.h"
+#include "core/store/table_service.h"
 
 namespace bulrushmount {
 
--- a/source/core/claims/write_batcher.h
+++ b/source/core/claims/write_batcher.h
@@ -14,7 +14,7 @@
 
 #include "core/claims/claim_types.h"
 #include "core/common/time.h"
-#include "core/platform/table_service.h"
+#include "core/store/table_service.h"
 
 namespace bulrushmount::detail {
 
--- a/source/core/common/ids.h
+++ b/source/core/common/ids.h
@@ -40,6 +40,9 @@
 using AvailabilityZone = StrongType<struct AvailabilityZoneTag, std::string>;
 using Region = StrongType<struct RegionTag, std::string>;
 
+// What a target calls itself; another one at each of its starts.
+using InstanceId = StrongType<struct InstanceIdTag, std::string>;
+
 // Orders all accepted configurations; 0 means that none is known yet.
 using Revision = StrongType<struct RevisionTag, std::uint64_t>;
 
--- /dev/null
+++ b/source/core/common/log_buffer.cc
@@ -0,0 +1,91 @@
+// Part of `log_buffer.h`.
+
+#include "core/common/log_buffer.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include <fmt/format.h>
+#include <poll.h>
+#include <unistd.h>
+
+namespace bulrushmount::detail {
+
+namespace {
+
+// A pipe that is writable takes this much without waiting (PIPE_BUF).
+constexpr std::size_t kWriteSize = 4096;
+// Buffered lines go out once this much waits.
+constexpr std::size_t kFlushSize = 4096;
+// What a reader may be behind: some seconds of a busy node's lines.
+constexpr std::size_t kMaxWaiting = 262'144;
+// Lines beyond are dropped, so that a storm of events costs neither the
+// processor nor the disk of whoever reads. A busy node of 200 calls a second
+// writes about 60 KB a second.
+constexpr double kBytesPerSecond = 131'072;
+constexpr double kBurstBytes = 524'288;
+
+std::int64_t SteadyNanoseconds() {
+  return std::chrono::steady_clock::now().time_since_epoch().count();
+}
+
+}  // namespace
+
+void LogBuffer::SetBuffered(bool is_buffered) {
+  m_is_buffered = is_buffered;
+  if (!is_buffered)
+    Flush();
+}
+
+void LogBuffer::Add(std::string_view line) {
+  const bool has_room = m_waiting.size() + line.size() <= kMaxWaiting;
+  if (!has_room || !TakeCredit(line.size())) {
+    ++m_dropped;
+    ++m_dropped_total;
+    return;
+  }
+  TellDropped();
+  m_waiting += line;
+  if (!m_is_buffered || m_waiting.size() >= kFlushSize)
+    Flush();
+}
+
+void LogBuffer::Flush() {
+  std::size_t written = 0;
+  while (written < m_waiting.size() && IsWritable()) {
+    const std::size_t size = std::min(kWriteSize, m_waiting.size() - written);
+    const ssize_t taken = ::write(m_file, m_waiting.data() + written, size);
+    if (taken <= 0)
+      break;
+    written += static_cast<std::size_t>(taken);
+  }
+  m_waiting.erase(0, written);
+}
+
+bool LogBuffer::TakeCredit(std::size_t size) {
+  const std::int64_t now = SteadyNanoseconds();
+  const double seconds = static_cast<double>(now - m_credit_at) / 1e9;
+  m_credit = m_credit_at == 0
+                 ? kBurstBytes
+                 : std::min(kBurstBytes, m_credit + seconds * kBytesPerSecond);
+  m_credit_at = now;
+  if (m_credit < static_cast<double>(size))
+    return false;
+  m_credit -= static_cast<double>(size);
+  return true;
+}
+
+void LogBuffer::TellDropped() {
+  if (m_dropped == 0)
+    return;
+  m_waiting +=
+      fmt::format("level=warning event=log.dropped lines={}\n", m_dropped);
+  m_dropped = 0;
+}
+
+bool LogBuffer::IsWritable() const {
+  pollfd request{m_file, POLLOUT, 0};
+  return ::poll(&request, 1, 0) == 1 && (request.revents & POLLOUT) != 0;
+}
+
+}  // namespace bulrushmount::detail
--- a/source/core/common/logging.cc
+++ b/source/core/common/logging.cc
@@ -3,14 +3,18 @@
 #include "core/common/logging.h"
 
 #include <chrono>
-#include <cstdio>
+
+#include "core/common/log_buffer.h"
 
 namespace bulrushmount {
 
 namespace {
 
-// One process has one standard error, hence one level.
+using detail::LogBuffer;
+
+// One process has one standard output, hence one level and one buffer.
 LogLevel g_level = LogLevel::kInfo;
+LogBuffer g_buffer;
 
 std::string_view ToToken(LogLevel level) {
   switch (level) {
@@ -49,6 +53,14 @@
   g_level = level;
 }
 
+void SetLogBuffered(bool is_buffered) {
+  g_buffer.SetBuffered(is_buffered);
+}
+
+void FlushLog() {
+  g_buffer.Flush();
+}
+
 bool IsLogged(LogLevel level) {
   return level >= g_level;
 }
@@ -81,9 +93,7 @@
   if (!m_is_logged)
     return;
   m_line += '\n';
-  // One write a line, so that lines of several processes on one terminal do
-  // not mix.
-  std::fwrite(m_line.data(), 1, m_line.size(), stderr);
+  g_buffer.Add(m_line);
 }
 
 }  // namespace bulrushmount
--- a/source/core/common/logging.h
+++ b/source/core/common/logging.h
@@ -1,5 +1,6 @@
 // Structured logs: one line of key=value pairs for each event, on standard
-// error.
+// output. Writing never blocks: a reader that stops reading costs lines, which
+// are counted and told, and never a request.
 
 #ifndef BULRUSHMOUNT_CORE_COMMON_LOGGING_H_
 #define BULRUSHMOUNT_CORE_COMMON_LOGGING_H_
@@ -18,6 +19,14 @@
 void SetLogLevel(LogLevel level);
 bool IsLogged(LogLevel level);
 
+// Buffered lines go out with FlushLog, or when enough of them are there; else
+// each goes out at once. Off at first.
+void SetLogBuffered(bool is_buffered);
+
+// Writes what the reader takes without waiting. To be called every now and then
+// while lines are buffered, and before the process ends.
+void FlushLog();
+
 // Quoted when it holds a space, a quote, '=' or a control character, so that
 // one event always is one line and a caller's bytes cannot forge another.
 std::string QuoteLogValue(std::string_view value);
--- a/source/core/common/outcome.cc
+++ b/source/core/common/outcome.cc
@@ -14,7 +14,9 @@
 constexpr int kBadRequest = 400;
 constexpr int kForbidden = 403;
 constexpr int kNotFound = 404;
+constexpr int kRequestTimeout = 408;
 constexpr int kConflict = 409;
+constexpr int kBodyTooLargeStatus = 413;
 constexpr int kUnprocessable = 422;
 constexpr int kTooManyRequests = 429;
 constexpr int kHeadTooLargeStatus = 431;
@@ -54,6 +56,11 @@
     ReasonTraits{"caller-gone", kBadGateway, std::nullopt},
     ReasonTraits{"shutdown-forced", kBadGateway, std::nullopt},
     ReasonTraits{"suspect", kUnavailable, 1s},
+    ReasonTraits{"no-route", kNotFound, std::nullopt},
+    ReasonTraits{"body-too-large", kBodyTooLargeStatus, std::nullopt},
+    ReasonTraits{"request-too-slow", kRequestTimeout, std::nullopt},
+    ReasonTraits{"slow-target", kUnavailable, 1s},
+    ReasonTraits{"wrong-target", kUnavailable, 1s},
 };
 
 static_assert(kTraits.size() == static_cast<std::size_t>(kLastReason) + 1);
--- a/source/core/common/outcome.h
+++ b/source/core/common/outcome.h
@@ -62,9 +62,19 @@
   // only alone until that is settled. Not convicted, so it is worth coming
   // back.
   kSuspect = 29,
+  // Faults of the request.
+  kNoRoute = 30,
+  kBodyTooLarge = 31,
+  // The caller took too long to send its request.
+  kRequestTooSlow = 32,
+  // State of the system. The target works slower than the entry would accept
+  // elsewhere: another one may be faster.
+  kSlowTarget = 33,
+  // Another target has the address; it did not run the request.
+  kWrongTarget = 34,
 };
 
-inline constexpr Reason kLastReason = Reason::kSuspect;
+inline constexpr Reason kLastReason = Reason::kWrongTarget;
 
 // How a reason is told to callers.
 struct ReasonTraits {
@@ -73,7 +83,7 @@
   // The HTTP status that the caller gets.
   int status = 0;
   // When to come back, if coming back can help; sent as `Retry-After`.
-  std::optional<std::chrono::seconds> retry_after;
+  std::optional<Duration> retry_after;
 };
 
 const ReasonTraits& TraitsOf(Reason reason);
--- a/source/core/contracts/config_sync.cc
+++ b/source/core/contracts/config_sync.cc
@@ -16,6 +16,9 @@
 
 // Table reads that failed in a row double the wait up to this power of two.
 constexpr std::uint32_t kMaxBackoffPower = 4;
+// The same for a table that is watched: a change must be known two seconds after
+// the table is back, so nobody waits for longer than that.
+constexpr std::uint32_t kMaxWatchBackoffPower = 1;
 constexpr Duration kMinTableWait = std::chrono::seconds(1);
 
 Duration Scale(Duration duration, double factor) {
@@ -26,7 +29,7 @@
 
 ConfigSync::ConfigSync(const ConfigSyncSettings& settings,
                        ContractStore& store,
-                       TableService& table,
+                       std::unique_ptr<ConfigReader> reader,
                        DatagramPort& port,
                        RandomSource& random,
                        TimePoint now)
@@ -34,12 +37,14 @@
       m_store(store),
       m_port(port),
       m_random(random),
-      m_reader(table),
+      m_reader(std::move(reader)),
       m_uploader(store, port),
       m_poll_interval(PollInterval()) {
   // Wide, because the member count is not known yet.
   m_next_poll =
       now + m_settings.startup_window + UpTo(m_settings.startup_window * 2);
+  if (m_reader->can_watch())
+    m_next_poll = TimePoint::max();
   m_next_pulse = now + UpTo(m_settings.pulse_period);
   // A newcomer has no configuration: it reads the table, unless a peer that it
   // hears of is faster.
@@ -49,6 +54,8 @@
 
 void ConfigSync::SetMemberCount(TimePoint now, std::size_t count) {
   m_member_count = std::max<std::size_t>(count, 1);
+  if (m_reader->can_watch())
+    return;
   // After a cut the few that are left must not wait as long as the many did.
   if (PollInterval() * 2 < m_poll_interval) {
     m_poll_interval = PollInterval();
@@ -104,6 +111,7 @@
   }
   if (m_fetch_state != FetchState::kIdle && now >= m_fetch_at)
     StepFetch(now);
+  ResumeWatching(now);
   if (now >= m_next_poll) {
     m_poll_interval = PollInterval();
     m_next_poll = now + Exponential(m_poll_interval);
@@ -300,7 +308,10 @@
   if (!m_table_at.has_value()) {
     const Duration window = FromSeconds(static_cast<double>(m_member_count) /
                                         m_settings.fleet_fetches_per_second);
-    const double backoff = 1U << std::min(m_table_failures, kMaxBackoffPower);
+    const double backoff =
+        1U << std::min(m_table_failures, m_reader->can_watch()
+                                             ? kMaxWatchBackoffPower
+                                             : kMaxBackoffPower);
     const Duration floor = m_table_failures > 0 ? kMinTableWait : Duration(0);
     m_table_at = now + UpTo(Scale(std::max(window, floor), backoff));
   }
@@ -313,16 +324,16 @@
   if (m_fetch_state == FetchState::kTableDelay)
     m_fetch_state = FetchState::kTableReading;
   // A poll that is under way serves the fetch as well.
-  if (m_reader.is_reading())
+  if (m_reader->is_reading())
     return;
   m_read_started = now;
-  m_reader.Read(m_store.revision(),
-                [this](TimePoint now, const TableReadResult& result) {
-                  OnTableRead(now, result);
-                });
+  m_reader->Read(m_store.revision(),
+                 [this](TimePoint at, const ConfigReadResult& result) {
+                   OnTableRead(at, result);
+                 });
 }
 
-void ConfigSync::OnTableRead(TimePoint now, const TableReadResult& result) {
+void ConfigSync::OnTableRead(TimePoint now, const ConfigReadResult& result) {
   const bool was_fetch = m_fetch_state == FetchState::kTableReading;
   if (!result.is_ok) {
     if (!was_fetch)
@@ -345,10 +356,43 @@
       std::max(m_confirmed_at.value_or(m_read_started), m_read_started);
   if (result.batch.has_value())
     Apply(now, *result.batch);
-  else if (m_store.revision() == Revision(0))
+  else if (m_store.revision() == Revision(0) && !result.is_unwritten)
     m_store.SetKnownEmpty();
   if (was_fetch)
     FinishFetch();
+  StartWatch(now);
+}
+
+void ConfigSync::StartWatch(TimePoint now) {
+  if (!m_reader->can_watch() || m_is_watching)
+    return;
+  m_is_watching = true;
+  m_reader->Watch(m_store.revision(),
+                  [this](TimePoint at, const ConfigReadResult& result) {
+                    OnWatched(at, result);
+                  });
+}
+
+void ConfigSync::OnWatched(TimePoint now, const ConfigReadResult& result) {
+  m_is_watching = false;
+  if (result.is_ok) {
+    m_confirmed_at = std::max(m_confirmed_at.value_or(now), now);
+    if (result.batch.has_value())
+      Apply(now, *result.batch);
+    StartWatch(now);
+    return;
+  }
+  ResumeWatching(now);
+}
+
+// Changes may have been missed, so the watch goes on after a read.
+void ConfigSync::ResumeWatching(TimePoint now) {
+  const bool is_busy = m_is_watching || m_reader->is_reading() ||
+                       m_fetch_state != FetchState::kIdle;
+  if (!m_reader->can_watch() || is_busy)
+    return;
+  m_table_at = now + UpTo(m_settings.reread_window);
+  WaitForTable(now);
 }
 
 void ConfigSync::Apply(TimePoint now, const ConfigBatch& batch) {
--- a/source/core/contracts/config_sync.h
+++ b/source/core/contracts/config_sync.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string_view>
 #include <unordered_map>
@@ -13,7 +14,7 @@
 #include "core/common/datagram.h"
 #include "core/common/random.h"
 #include "core/common/time.h"
-#include "core/contracts/config_table_reader.h"
+#include "core/contracts/config_reader.h"
 #include "core/contracts/config_transfer.h"
 #include "core/contracts/contract_store.h"
 
@@ -34,6 +35,8 @@
   std::uint32_t peer_attempts = 3;
   // Each period a node tells one random peer what it has in force.
   Duration pulse_period = std::chrono::seconds(2);
+  // After a watch that broke off, the table is read again within this.
+  Duration reread_window = std::chrono::milliseconds(200);
   // Peers told at once when a newer configuration is in force.
   std::uint32_t push_fanout = 4;
 };
@@ -46,7 +49,7 @@
   // All references must outlive the object, and it must outlive its requests.
   ConfigSync(const ConfigSyncSettings& settings,
              ContractStore& store,
-             TableService& table,
+             std::unique_ptr<ConfigReader> reader,
              DatagramPort& port,
              RandomSource& random,
              TimePoint now);
@@ -124,8 +127,13 @@
   void WaitForTable(TimePoint now);
   std::optional<Endpoint> PickSource();
 
+  // A reader that can watch makes polls needless: the answer to a watch comes
+  // with the change, and an idle node asks once in kWatchTime.
+  void StartWatch(TimePoint now);
+  void ResumeWatching(TimePoint now);
+  void OnWatched(TimePoint now, const ConfigReadResult& result);
   void ReadTable(TimePoint now);
-  void OnTableRead(TimePoint now, const TableReadResult& result);
+  void OnTableRead(TimePoint now, const ConfigReadResult& result);
   void Apply(TimePoint now, const ConfigBatch& batch);
   void FinishFetch();
 
@@ -133,7 +141,7 @@
   ContractStore& m_store;
   DatagramPort& m_port;
   RandomSource& m_random;
-  ConfigTableReader m_reader;
+  std::unique_ptr<ConfigReader> m_reader;
   ConfigUploader m_uploader;
 
   std::size_t m_member_count = 1;
@@ -158,6 +166,7 @@
   std::optional<TimePoint> m_table_at;
   std::uint32_t m_table_failures = 0;
 
+  bool m_is_watching = false;
   TimePoint m_read_started;
   std::optional<TimePoint> m_confirmed_at;
 };
--- a/source/core/contracts/config_table_reader.cc
+++ b/source/core/contracts/config_table_reader.cc
@@ -136,7 +136,7 @@
   return batch;
 }
 
-void ConfigTableReader::Finish(TimePoint now, TableReadResult result) {
+void ConfigTableReader::Finish(TimePoint now, ConfigReadResult result) {
   const Callback done = std::exchange(m_done, nullptr);
   done(now, std::move(result));
 }
--- a/source/core/contracts/config_table_reader.h
+++ b/source/core/contracts/config_table_reader.h
@@ -12,8 +12,9 @@
 #include <vector>
 
 #include "core/common/time.h"
+#include "core/contracts/config_reader.h"
 #include "core/contracts/config_types.h"
-#include "core/platform/table_service.h"
+#include "core/store/table_service.h"
 
 namespace bulrushmount {
 
@@ -21,30 +22,19 @@
 // that a fleet's reads stay bounded whatever has changed.
 inline constexpr std::size_t kMaxSingleReads = 2;
 
-struct TableReadResult {
-  // False if the table gave no answer, or one that makes no sense.
-  bool is_ok = false;
-  // Empty if the table holds nothing newer.
-  std::optional<ConfigBatch> batch;
-};
-
 // When nothing is newer it costs one read; else one for each changed contract
 // more, or a scan where many changed. A change that is committed in the middle
 // is noticed by its revision, and the read goes on to that one.
-class ConfigTableReader {
+class ConfigTableReader : public ConfigReader {
  public:
-  using Callback = std::function<void(TimePoint now, TableReadResult result)>;
-
   // `table` must outlive the object, and the object its requests.
   explicit ConfigTableReader(TableService& table) : m_table(table) {}
 
   ConfigTableReader(const ConfigTableReader&) = delete;
   ConfigTableReader& operator=(const ConfigTableReader&) = delete;
 
-  bool is_reading() const { return static_cast<bool>(m_done); }
-
-  // One at a time.
-  void Read(Revision since, Callback done);
+  bool is_reading() const override { return static_cast<bool>(m_done); }
+  void Read(Revision since, Callback done) override;
 
  private:
   void ReadRevision();
@@ -57,7 +47,7 @@
   void OnRows(TimePoint now, const TableReply& reply);
   void FinishRound(TimePoint now);
   ConfigBatch MakeBatch() const;
-  void Finish(TimePoint now, TableReadResult result);
+  void Finish(TimePoint now, ConfigReadResult result);
 
   TableService& m_table;
   Callback m_done;
--- a/source/core/contracts/config_types.h
+++ b/source/core/contracts/config_types.h
@@ -63,6 +63,10 @@
 
 inline constexpr std::size_t kMaxLoggedChanges = 64;
 
+// Stands in place of a customer for the operator's routing document. No
+// customer's name holds a '/'.
+inline constexpr char kRouteDocument[] = "operator/document";
+
 }  // namespace bulrushmount
 
 #endif  // BULRUSHMOUNT_CORE_CONTRACTS_CONFIG_TYPES_H_
--- a/source/core/contracts/contract_change.h
+++ b/source/core/contracts/contract_change.h
@@ -14,7 +14,7 @@
 #include "core/common/random.h"
 #include "core/common/time.h"
 #include "core/contracts/config_types.h"
-#include "core/platform/table_service.h"
+#include "core/store/table_service.h"
 
 namespace bulrushmount {
 
--- a/source/core/contracts/contract_store.cc
+++ b/source/core/contracts/contract_store.cc
@@ -52,6 +52,11 @@
   return entry == m_entries.end() ? nullptr : entry->second.contract.get();
 }
 
+const std::string* ContractStore::RouteDocumentText() const {
+  const auto entry = m_entries.find(CustomerName(kRouteDocument));
+  return entry == m_entries.end() ? nullptr : &entry->second.change.yaml;
+}
+
 KindMatchResult ContractStore::MatchKind(const CustomerName& customer,
                                          const ServiceName& service,
                                          std::string_view method,
@@ -107,7 +112,7 @@
 
 ContractStore::Entry ContractStore::MakeEntry(const ConfigChange& change) {
   Entry entry{change, nullptr, {}};
-  if (change.is_withdrawn)
+  if (change.is_withdrawn || change.customer.value() == kRouteDocument)
     return entry;
   ContractOrFaults parsed = TryParseContract(change.yaml);
   if (!parsed.contract.has_value() ||
--- a/source/core/contracts/contract_store.h
+++ b/source/core/contracts/contract_store.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <string>
 #include <string_view>
 #include <unordered_map>
 #include <variant>
@@ -79,6 +80,9 @@
                             std::string_view method,
                             std::string_view target) const;
 
+  // The operator's routing document in force; null if there is none.
+  const std::string* RouteDocumentText() const;
+
   // What leads from `since` to the configuration in force, tombstones
   // included.
   ConfigBatch ChangesSince(Revision since) const;
--- a/source/core/contracts/contract_writer.h
+++ b/source/core/contracts/contract_writer.h
@@ -13,7 +13,7 @@
 #include "core/contracts/contract_change.h"
 #include "core/node_logic/actions.h"
 #include "core/node_logic/events.h"
-#include "core/platform/table_service.h"
+#include "core/store/table_service.h"
 
 namespace bulrushmount {
 
--- a/source/core/contracts/operator_answers.h
+++ b/source/core/contracts/operator_answers.h
@@ -5,7 +5,7 @@
 
 #include "core/contracts/contract_change.h"
 #include "core/node_logic/actions.h"
-#include "core/platform/table_types.h"
+#include "core/store/table_types.h"
 #include "core/settings/yaml_reader.h"
 
 namespace bulrushmount {
--- a/source/core/measuring/budget_lease.h
+++ b/source/core/measuring/budget_lease.h
@@ -25,7 +25,7 @@
 #include "core/measuring/probe_need.h"
 #include "core/measuring/share_rows.h"
 #include "core/measuring/slot_observer.h"
-#include "core/platform/table_service.h"
+#include "core/store/table_service.h"
 
 namespace bulrushmount {
 
--- a/source/core/measuring/probe_scheduler.h
+++ b/source/core/measuring/probe_scheduler.h
@@ -16,7 +16,7 @@
 #include "core/measuring/measuring_settings.h"
 #include "core/measuring/probe_credit.h"
 #include "core/measuring/probe_need.h"
-#include "core/platform/table_service.h"
+#include "core/store/table_service.h"
 
 namespace bulrushmount {
 
--- a/source/core/measuring/slot_observer.h
+++ b/source/core/measuring/slot_observer.h
@@ -16,7 +16,7 @@
 #include "core/measuring/budget_layout.h"
 #include "core/measuring/measuring_settings.h"
 #include "core/measuring/share_rows.h"
-#include "core/platform/table_types.h"
+#include "core/store/table_types.h"
 
 namespace bulrushmount {
 
--- a/source/core/membership/member_directory.cc
+++ b/source/core/membership/member_directory.cc
@@ -112,7 +112,7 @@
   }
 
   Duration ScanInterval() const {
-    return is_alone ? settings.min_interval
+    return is_alone ? settings.lone_interval
                     : Interval(settings.fleet_scans_per_second);
   }
 
--- a/source/core/membership/member_directory.h
+++ b/source/core/membership/member_directory.h
@@ -19,7 +19,7 @@
 #include "core/common/random.h"
 #include "core/common/time.h"
 #include "core/membership/member_table.h"
-#include "core/platform/table_service.h"
+#include "core/store/table_service.h"
 
 namespace bulrushmount {
 
@@ -29,6 +29,8 @@
   double fleet_renewals_per_second = 2.0;
   // Longest time between two scans or renewals of a small fleet's node.
   Duration min_interval = std::chrono::seconds(10);
+  // The same for a node that knows no other.
+  Duration lone_interval = std::chrono::seconds(10);
   // The back-off while the table does not answer, jittered.
   Duration min_backoff = std::chrono::milliseconds(200);
   Duration max_backoff = std::chrono::seconds(15);
--- a/source/core/node_logic/actions.h
+++ b/source/core/node_logic/actions.h
@@ -5,6 +5,7 @@
 #define BULRUSHMOUNT_CORE_NODE_LOGIC_ACTIONS_H_
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -13,7 +14,8 @@
 #include "core/common/outcome.h"
 #include "core/common/time.h"
 #include "core/node_logic/call_types.h"
-#include "core/platform/table_types.h"
+#include "core/routes/route_config.h"
+#include "core/store/table_types.h"
 
 namespace bulrushmount {
 
@@ -48,6 +50,8 @@
   CallId call;
   Outcome outcome = Outcome::kNotRun;
   Reason reason = Reason::kNone;
+  // When coming back is worth it; empty: as `TraitsOf(reason)` says.
+  std::optional<Duration> retry_after{};
 };
 
 // Answer the caller with the stored answer of the first run of its key.
@@ -70,6 +74,13 @@
   WorkId work;
   // Passed on to the target as its deadline.
   Duration time_left{};
+  // The target that it is meant for; empty if targets have no ids.
+  InstanceId instance{};
+};
+
+// Where works are handed to from now on.
+struct UseTarget {
+  Endpoint endpoint;
 };
 
 struct RefuseWork {
@@ -105,10 +116,17 @@
   Endpoint endpoint;
   TimePoint valid_until;
   TimePoint gives_up_at;
+  // Empty: the path of the settings.
+  std::string path{};
 };
 
 // --- Other nodes, platform, operators ---------------------------------------
 
+// What callers may send from now on.
+struct SetCallerBounds {
+  CallerBounds bounds;
+};
+
 struct SendDatagram {
   Endpoint to;
   std::string bytes;
@@ -139,11 +157,13 @@
                                 ReplayAnswer,
                                 BreakAnswer,
                                 HandToTarget,
+                                UseTarget,
                                 RefuseWork,
                                 RelayWork,
                                 FailWork,
                                 CancelWork,
                                 SendProbe,
+                                SetCallerBounds,
                                 SendDatagram,
                                 SubmitTableRequest,
                                 AnswerOperator,
--- a/source/core/node_logic/call_types.h
+++ b/source/core/node_logic/call_types.h
@@ -19,6 +19,8 @@
   RequestId request_id;
   CustomerName customer;
   ServiceName service;
+  // As sent, with its port if it has one.
+  std::string host;
   std::string method;
   // Path and query as sent.
   std::string target;
@@ -51,6 +53,22 @@
   bool is_suspect = false;
   // The entry will not send it elsewhere if it is refused here.
   bool is_last_attempt = false;
+  // 0 is the most urgent. Orders the works that wait for one target.
+  std::uint32_t priority = 0;
+  // The owner refuses if the target would take longer than this multiple of
+  // its usual time: the entry hopes for a faster one. 0: takes any.
+  double max_slowdown = 0;
+};
+
+// What a target says of itself with an answer, as of that moment.
+struct TargetFigures {
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  std::uint32_t slots = 0;
+  // How long work takes now, as a multiple of the usual.
+  double slowdown = 1.0;
+
+  friend bool operator==(const TargetFigures&, const TargetFigures&) = default;
 };
 
 // An owner's exact load at one moment, sent with every answer and refusal.
@@ -61,6 +79,8 @@
   std::uint32_t limit = 0;
   // Recent mean time that the target takes for a request of weight 1.
   Duration service_time{};
+  // What a request that started now would take, as a multiple of the usual.
+  double slowdown = 1.0;
 
   friend bool operator==(const LoadReport&, const LoadReport&) = default;
 };
--- a/source/core/node_logic/entry_side.cc
+++ b/source/core/node_logic/entry_side.cc
@@ -10,6 +10,7 @@
 #include "core/pipeline/contract_filter.h"
 #include "core/pipeline/limit_filter.h"
 #include "core/pipeline/quarantine_filter.h"
+#include "core/pipeline/route_filter.h"
 
 namespace bulrushmount::detail {
 
@@ -19,12 +20,15 @@
   DispatcherSettings dispatcher;
   dispatcher.self = settings.id;
   dispatcher.max_attempts = settings.max_attempts;
+  dispatcher.is_refusal_free = settings.is_refusal_free;
   return dispatcher;
 }
 
 RetryBudgetSettings MakeRetrySettings(const NodeSettings& settings) {
   RetryBudgetSettings retries;
   retries.fraction = settings.retry_budget_fraction;
+  retries.floor = settings.retry_slack;
+  retries.memory = settings.retry_window;
   return retries;
 }
 
@@ -37,7 +41,8 @@
       m_dispatcher(
           MakeDispatcherSettings(settings),
           Dispatcher::Parts{m_pipeline, parts.router, m_retries, parts.claims,
-                            parts.owners, parts.random, parts.actions}) {
+                            parts.owners, parts.random, parts.actions}),
+      m_has_route_document(settings.has_route_document) {
   AddFilters();
 }
 
@@ -46,7 +51,7 @@
   // take away what the first holds, or give it two outcomes.
   if (m_pipeline.Find(event.call))
     return;
-  if (m_is_leaving) {
+  if (now >= m_refuse_from) {
     m_parts.actions.Push(
         AnswerCaller{event.call, Outcome::kNotRun, Reason::kDraining});
     return;
@@ -74,9 +79,14 @@
 // What is cheap and certain goes first; what takes something that has to be
 // given back, or costs a write to the table, goes last.
 void EntrySide::AddFilters() {
-  m_pipeline.AddFilter(
-      std::make_unique<ContractFilter>(m_parts.contracts, m_pipeline));
-  m_pipeline.AddFilter(std::make_unique<LimitFilter>(m_parts.limiter));
+  if (m_has_route_document) {
+    m_pipeline.AddFilter(
+        std::make_unique<RouteFilter>(m_parts.routes, m_pipeline));
+  } else {
+    m_pipeline.AddFilter(
+        std::make_unique<ContractFilter>(m_parts.contracts, m_pipeline));
+    m_pipeline.AddFilter(std::make_unique<LimitFilter>(m_parts.limiter));
+  }
   m_pipeline.AddFilter(std::make_unique<QuarantineFilter>(
       m_parts.quarantine, m_pipeline, m_parts.event_time));
   m_pipeline.AddFilter(
--- a/source/core/node_logic/entry_side.h
+++ b/source/core/node_logic/entry_side.h
@@ -16,6 +16,7 @@
 #include "core/pipeline/dispatcher.h"
 #include "core/quarantine/quarantine.h"
 #include "core/reporting/call_recorder.h"
+#include "core/routes/route_table.h"
 #include "core/routing/retry_budget.h"
 #include "core/routing/router.h"
 
@@ -25,6 +26,7 @@
  public:
   struct Parts {
     const ContractStore& contracts;
+    RouteTable& routes;
     CustomerLimiter& limiter;
     Quarantine& quarantine;
     ClaimBook& claims;
@@ -42,8 +44,8 @@
   void OnCallArrived(TimePoint now, CallArrived event);
   Dispatcher& dispatcher() { return m_dispatcher; }
 
-  // New calls are refused from now on; those under way go on.
-  void Drain() { m_is_leaving = true; }
+  // New calls are refused from `refuse_from` on; those under way go on.
+  void Drain(TimePoint refuse_from) { m_refuse_from = refuse_from; }
 
   void OnTimer(TimePoint now) { m_pipeline.OnTimer(now); }
   TimePoint NextWakeup() const { return m_pipeline.NextWakeup(); }
@@ -63,7 +65,8 @@
   RetryBudget m_retries;
   CallPipeline m_pipeline;
   Dispatcher m_dispatcher;
-  bool m_is_leaving = false;
+  bool m_has_route_document = false;
+  TimePoint m_refuse_from = TimePoint::max();
 };
 
 }  // namespace bulrushmount::detail
--- a/source/core/node_logic/events.h
+++ b/source/core/node_logic/events.h
@@ -13,7 +13,8 @@
 #include "core/common/outcome.h"
 #include "core/common/time.h"
 #include "core/node_logic/call_types.h"
-#include "core/platform/table_types.h"
+#include "core/store/table_types.h"
+#include "core/target_state/target_heartbeat.h"
 
 namespace bulrushmount {
 
@@ -99,6 +100,10 @@
   int status = 0;
   // The target's documented signal that it did not run the request.
   bool is_shed = false;
+  // The same, since the request was meant for another target.
+  bool is_wrong_target = false;
+  // Empty if the target tells nothing of its load.
+  std::optional<TargetFigures> figures;
 };
 
 struct TargetAnswerEnded {
@@ -120,15 +125,25 @@
   std::uint32_t slots = 0;
   std::uint32_t connections = 0;
   Incarnation incarnation;
+  // What is left of its cold start, if it tells.
+  std::optional<Duration> cold_time_left{};
 };
 
 // It drains: no new work, what runs goes on.
 struct TargetWithdrawn {};
 
+// The target says that it has left. It may go on with what it runs.
+struct TargetDeparted {
+  InstanceId instance;
+};
+
 struct ProbeAnswered {
   ProbeId probe;
   bool is_healthy = false;
   Duration latency{};
+  // Empty if the target does not tell.
+  InstanceId instance{};
+  std::optional<TargetFigures> figures{};
 };
 
 struct ProbeFailed {
@@ -181,6 +196,8 @@
                                TargetExchangeFailed,
                                TargetAnnounced,
                                TargetWithdrawn,
+                               TargetHeartbeat,
+                               TargetDeparted,
                                ProbeAnswered,
                                ProbeFailed,
                                DatagramArrived,
--- a/source/core/node_logic/node.cc
+++ b/source/core/node_logic/node.cc
@@ -9,6 +9,8 @@
 #include <variant>
 
 #include "core/common/logging.h"
+#include "core/contracts/config_table_reader.h"
+#include "core/contracts/operator_document_reader.h"
 #include "core/routing/power_of_choices_picker.h"
 
 namespace bulrushmount::detail {
@@ -73,13 +75,30 @@
   return picker;
 }
 
+MemberDirectorySettings MakeDirectorySettings(const NodeSettings& settings) {
+  MemberDirectorySettings directory;
+  directory.min_interval = settings.directory_interval;
+  return directory;
+}
+
+std::unique_ptr<ConfigReader> MakeConfigReader(
+    TableService& table,
+    const RouteDocumentDecoder* decoder) {
+  if (!decoder)
+    return std::make_unique<ConfigTableReader>(table);
+  return std::make_unique<OperatorDocumentReader>(table, *decoder);
+}
+
 WallAnchor AnchorAt(TimePoint now) {
   return WallAnchor{now, std::chrono::system_clock::now()};
 }
 
 }  // namespace
 
-Node::Node(const NodeSettings& settings, RandomSource& random, TimePoint now)
+Node::Node(const NodeSettings& settings,
+           const RouteDocumentDecoder* decoder,
+           RandomSource& random,
+           TimePoint now)
     : m_settings(settings),
       m_random(random),
       m_event_time(now),
@@ -90,13 +109,14 @@
                    random,
                    m_datagrams,
                    now),
-      m_directory(MemberDirectorySettings(),
+      m_directory(MakeDirectorySettings(settings),
                   settings.id,
                   settings.gossip_endpoint,
                   random,
                   m_table,
                   now),
       m_broadcasts(m_membership, m_event_time),
+      m_decoder(decoder),
       m_contract_writer(ContractWriterSettings(),
                         m_table,
                         random,
@@ -105,7 +125,7 @@
                         }),
       m_config_sync(MakeConfigSettings(settings),
                     m_contracts,
-                    m_table,
+                    MakeConfigReader(m_table, decoder),
                     m_datagrams,
                     random,
                     now),
@@ -121,11 +141,11 @@
       m_router([picker = MakePickerSettings(settings)] {
         return std::make_unique<PowerOfChoicesPicker>(picker);
       }),
-      m_owner(settings, m_quarantine, m_actions),
+      m_owner(settings, m_routes, m_quarantine, m_actions),
       m_probes(settings.id, MakeMeasuringSettings(settings), random),
       m_entry(settings,
-              EntrySide::Parts{m_contracts, m_limiter, m_quarantine, m_claims,
-                               m_router, m_recorder, *this, random, m_actions,
+              EntrySide::Parts{m_contracts, m_routes, m_limiter, m_quarantine,
+                               m_claims, m_router, m_recorder, *this, random, m_actions,
                                m_event_time}) {
   m_contracts.AddListener(this);
 }
@@ -140,17 +160,30 @@
 }
 
 TimePoint Node::NextWakeup() const {
-  return std::min({m_membership.NextWakeup(), m_directory.NextWakeup(),
+  TimePoint leave_step = TimePoint::max();
+  if (m_leaving_since && !m_has_exited) {
+    leave_step = *m_leaving_since + (m_has_told_leaving
+                                         ? m_settings.longest_leave
+                                         : m_settings.leave_time);
+  }
+  return std::min({leave_step, m_membership.NextWakeup(), m_directory.NextWakeup(),
                    m_contract_writer.NextWakeup(), m_config_sync.NextWakeup(),
                    m_limiter.NextWakeup(), m_quarantine.NextWakeup(),
-                   m_claims.NextWakeup(), m_claim_sweeper.NextWakeup(),
+                   m_claims.NextWakeup(), SweepWakeup(),
                    m_owner.NextWakeup(), m_probes.NextWakeup(),
                    m_entry.NextWakeup(), m_next_question});
 }
 
+// Under a routing document no request has a key, so there are no claims to
+// sweep, and reads of the table cost.
+TimePoint Node::SweepWakeup() const {
+  return m_decoder ? TimePoint::max() : m_claim_sweeper.NextWakeup();
+}
+
 bool Node::IsReady() const {
-  return !m_leaving_since && m_contracts.is_known() &&
-         m_quarantine.IsCaughtUp();
+  const bool is_configured =
+      m_decoder ? m_routes.is_known() : m_contracts.is_known();
+  return !m_leaving_since && is_configured && m_quarantine.IsCaughtUp();
 }
 
 const Member* Node::FindOwner(NodeId node) const {
@@ -218,12 +251,24 @@
   m_owner.OnWithdrawn(now);
 }
 
+void Node::On(TimePoint now, const TargetHeartbeat& event) {
+  m_owner.OnHeartbeat(now, event);
+}
+
+void Node::On(TimePoint now, const TargetDeparted& event) {
+  m_owner.OnDeparted(now, event.instance);
+}
+
 void Node::On(TimePoint now, const ProbeAnswered& event) {
+  if (m_owner.OnOwnProbe(now, event))
+    return;
   m_probes.OnProbeAnswered(now, event.probe);
   m_owner.OnProbe(now, event.is_healthy);
 }
 
 void Node::On(TimePoint now, const ProbeFailed& event) {
+  if (m_owner.OnOwnProbe(now, event))
+    return;
   m_probes.OnProbeFailed(now, event.probe);
   m_owner.OnProbe(now, false);
 }
@@ -268,7 +313,8 @@
   m_limiter.OnTimer(now);
   m_quarantine.OnTimer(now);
   m_claims.OnTimer(now);
-  m_claim_sweeper.OnTimer(now, m_membership.table().Live().size());
+  if (!m_decoder)
+    m_claim_sweeper.OnTimer(now, m_membership.table().Live().size());
   m_owner.OnTimer(now);
   m_entry.OnTimer(now);
 }
@@ -277,19 +323,36 @@
   if (m_leaving_since)
     return;
   m_leaving_since = now;
-  m_entry.Drain();
+  m_entry.Drain(now + m_settings.leave_time);
   m_owner.Drain(now);
-  m_membership.Leave(now);
-  m_directory.Leave(now);
+  LeaveWhenHeard(now);
   LogLine(LogLevel::kInfo, "node.leaving")
       .Add("calls", m_entry.size())
       .Add("works", m_owner.size());
 }
 
+// Callers turn to other nodes only once they have seen that this one is not
+// ready. Until then it goes on as an entry, and hears of owners by gossip.
+void Node::LeaveWhenHeard(TimePoint now) {
+  if (!m_leaving_since || m_has_told_leaving)
+    return;
+  if (now - *m_leaving_since < m_settings.leave_time)
+    return;
+  m_has_told_leaving = true;
+  m_membership.Leave(now);
+  m_directory.Leave(now);
+}
+
 void Node::ExitWhenDone(TimePoint now) {
   if (!m_leaving_since || m_has_exited)
     return;
-  if (m_entry.size() > 0 || m_owner.size() > 0)
+  const Duration since = now - *m_leaving_since;
+  if (since >= m_settings.longest_leave) {
+    m_has_exited = true;
+    m_actions.Push(ExitProcess{});
+    return;
+  }
+  if (!m_has_told_leaving || m_entry.size() > 0 || m_owner.size() > 0)
     return;
   const bool is_tidy = m_membership.phase() == MemberPhase::kLeft &&
                        m_directory.has_left() && m_claims.size() == 0;
--- a/source/core/node_logic/node.h
+++ b/source/core/node_logic/node.h
@@ -26,13 +26,19 @@
 #include "core/node_logic/ports.h"
 #include "core/quarantine/quarantine.h"
 #include "core/reporting/call_recorder.h"
+#include "core/routes/route_document.h"
+#include "core/routes/route_table.h"
 #include "core/routing/router.h"
 
 namespace bulrushmount::detail {
 
 class Node : private OwnerDirectory, private ContractListener {
  public:
-  Node(const NodeSettings& settings, RandomSource& random, TimePoint now);
+  // `decoder` reads the operator's routing document; null without one.
+  Node(const NodeSettings& settings,
+       const RouteDocumentDecoder* decoder,
+       RandomSource& random,
+       TimePoint now);
 
   std::vector<NodeAction> Handle(TimePoint now, NodeEvent event);
   TimePoint NextWakeup() const;
@@ -66,6 +72,8 @@
   void On(TimePoint now, const TargetExchangeFailed& event);
   void On(TimePoint now, const TargetAnnounced& event);
   void On(TimePoint now, const TargetWithdrawn& event);
+  void On(TimePoint now, const TargetHeartbeat& event);
+  void On(TimePoint now, const TargetDeparted& event);
   void On(TimePoint now, const ProbeAnswered& event);
   void On(TimePoint now, const ProbeFailed& event);
   void On(TimePoint now, const DatagramArrived& event);
@@ -88,7 +96,10 @@
   void TellMembers(TimePoint now);
   void TellConfigSync(TimePoint now, const Member& member);
   void HearNewestRevision(TimePoint now);
+  void TakeRouteDocument(TimePoint now);
+  void LeaveWhenHeard(TimePoint now);
   void ExitWhenDone(TimePoint now);
+  TimePoint SweepWakeup() const;
   Candidate MakeCandidate(TimePoint now, const Member& member) const;
 
   NodeSettings m_settings;
@@ -102,6 +113,8 @@
   Membership m_membership;
   MemberDirectory m_directory;
   GossipBroadcasts m_broadcasts;
+  const RouteDocumentDecoder* m_decoder;
+  RouteTable m_routes;
   ContractStore m_contracts;
   ContractWriter m_contract_writer;
   ConfigSync m_config_sync;
@@ -127,6 +140,8 @@
   Revision m_probes_revision;
   // Set when the node has been told to leave.
   std::optional<TimePoint> m_leaving_since;
+  // The leaving was told to the fleet.
+  bool m_has_told_leaving = false;
   bool m_has_exited = false;
 };
 
--- a/source/core/node_logic/node_logic.h
+++ b/source/core/node_logic/node_logic.h
@@ -16,6 +16,7 @@
 #include "core/node_logic/node_brain.h"
 #include "core/node_logic/node_settings.h"
 #include "core/reporting/burn_report.h"
+#include "core/routes/route_document.h"
 
 namespace bulrushmount {
 
@@ -27,6 +28,12 @@
  public:
   // `random` must outlive the object.
   NodeLogic(const NodeSettings& settings, RandomSource& random, TimePoint now);
+  // The operator writes one routing document, which `decoder` reads. It must
+  // outlive the object.
+  NodeLogic(const NodeSettings& settings,
+            const RouteDocumentDecoder& decoder,
+            RandomSource& random,
+            TimePoint now);
   ~NodeLogic() override;
 
   NodeLogic(const NodeLogic&) = delete;
--- a/source/core/node_logic/node_settings.h
+++ b/source/core/node_logic/node_settings.h
@@ -49,6 +49,34 @@
   // A convicted request is refused for this long.
   Duration quarantine_time = std::chrono::minutes(10);
 
+  // The targets of the fleet are known by ids, and the operator writes one
+  // routing document instead of contracts.
+  bool has_route_document = false;
+
+  // A request whose exchange broke off is suspected of crashing targets only
+  // once its target is seen to be down. Without it every lost answer keeps its
+  // request from being sent again.
+  bool needs_crash_to_suspect = false;
+
+  // Only what was handed to a target counts against the retry budget: an
+  // owner's refusal costs its target nothing.
+  bool is_refusal_free = false;
+
+  // Arrivals at targets beyond the first of each request, over the whole fleet
+  // and any window of this length: a fraction of the requests (above) and this
+  // many more.
+  Duration retry_window = std::chrono::seconds(1);
+  double retry_slack = 5.0;
+
+  // After a shutdown was asked for, callers that have not yet heard are served
+  // for this long.
+  Duration leave_time{};
+  // The node ends by then, whatever is under way.
+  Duration longest_leave = std::chrono::hours(1);
+
+  // How often a node of a small fleet looks at the table's rows of members.
+  Duration directory_interval = std::chrono::seconds(10);
+
   // An answer of which no byte moves for this long is broken off.
   Duration min_progress_time = std::chrono::seconds(30);
 };
--- a/source/core/node_logic/node_settle.cc
+++ b/source/core/node_logic/node_settle.cc
@@ -40,6 +40,7 @@
   AskForRevisions(now);
   TakeBroadcasts(now);
   RunProbes(now);
+  LeaveWhenHeard(now);
   ExitWhenDone(now);
 }
 
@@ -161,6 +162,10 @@
 void Node::OnContractChanged(TimePoint now,
                              const CustomerName& customer,
                              const Contract* contract) {
+  if (customer.value() == kRouteDocument) {
+    TakeRouteDocument(now);
+    return;
+  }
   LogLine(LogLevel::kInfo, "contract.in_force")
       .Add("customer", customer)
       .Add("revision", m_contracts.revision())
@@ -175,8 +180,32 @@
   m_recorder.Forget(customer);
 }
 
+void Node::TakeRouteDocument(TimePoint now) {
+  const std::string* const text = m_contracts.RouteDocumentText();
+  if (!text || !m_decoder)
+    return;
+  auto decoded = m_decoder->Decode(*text);
+  if (const auto* fault = std::get_if<RouteDocumentFault>(&decoded)) {
+    // From a peer of a newer release. What is in force stays.
+    LogLine(LogLevel::kError, "config.unreadable")
+        .Add("revision", m_contracts.revision())
+        .Add("fault", fault->message);
+    return;
+  }
+  auto& document = std::get<RouteDocument>(decoded);
+  LogLine(LogLevel::kInfo, "routes.in_force")
+      .Add("revision", document.revision)
+      .Add("routes", document.config.routes.size())
+      .Add("services", document.config.services.size());
+  m_actions.Push(SetCallerBounds{document.config.callers});
+  m_routes.Replace(std::move(document.config));
+  m_owner.OnRoutesChanged(now);
+}
+
 void Node::TellTarget(TimePoint now) {
-  const std::optional<TargetSummary> target = m_owner.life().Summary();
+  std::optional<TargetSummary> target = m_owner.life().Summary();
+  if (target && m_leaving_since)
+    target->is_serving = false;
   m_membership.UpdateSelf(now, target, m_contracts.revision());
   std::optional<ServiceName> service;
   if (target)
--- a/source/core/node_logic/owner_side.cc
+++ b/source/core/node_logic/owner_side.cc
@@ -17,6 +17,22 @@
 
 constexpr int kFirstServerError = 500;
 
+// Marks the probes of this object among those of the measuring budget.
+constexpr std::uint64_t kOwnProbes = std::uint64_t{1} << 63;
+
+bool IsOwnProbe(ProbeId probe) {
+  return (probe.value() & kOwnProbes) != 0;
+}
+
+// A target on the same machine answers a probe in milliseconds; one that does
+// not is left to its next heartbeat.
+constexpr Duration kProbeTime = std::chrono::milliseconds(300);
+
+// A target that crashed refuses connections at once, and its successor reports
+// within seconds.
+constexpr Duration kCrashNoticedWithin = std::chrono::seconds(5);
+constexpr std::size_t kMaxBroken = 256;
+
 // One line a request, with the id under which its entry logs it as well.
 void LogWork(const WorkHead& head, std::string_view result) {
   LogLine(LogLevel::kDebug, "work.ended")
@@ -38,13 +54,16 @@
 }  // namespace
 
 OwnerSide::OwnerSide(const NodeSettings& settings,
+                     const RouteTable& routes,
                      Quarantine& quarantine,
                      ActionSink& actions)
-    : m_quarantine(quarantine),
+    : m_routes(routes),
+      m_quarantine(quarantine),
       m_actions(actions),
       m_life(LifeSettings(settings)),
       m_admission(AdmissionSettings(),
-                  std::make_unique<AdaptiveLimit>(AdaptiveLimitSettings())) {}
+                  std::make_unique<AdaptiveLimit>(AdaptiveLimitSettings())),
+      m_needs_crash(settings.needs_crash_to_suspect) {}
 
 void OwnerSide::OnWorkArrived(TimePoint now, const WorkArrived& event) {
   // An id that is in use stands for the work that has it: admitted twice, it
@@ -85,6 +104,7 @@
 }
 
 void OwnerSide::OnConnectFailed(TimePoint now, WorkId work) {
+  AccuseBroken(now);
   EndNotRun(now, work, Reason::kConnectFailed, RealResult::kConnectFailed);
 }
 
@@ -96,6 +116,11 @@
     EndNotRun(now, event.work, Reason::kShed, RealResult::kShed);
     return;
   }
+  if (event.is_wrong_target) {
+    EndNotRun(now, event.work, Reason::kWrongTarget,
+              RealResult::kConnectFailed);
+    return;
+  }
   found->second.is_answer_begun = true;
   found->second.status = event.status;
   m_admission.OnAnswerBegun(now, event.work, event.status >= kFirstServerError);
@@ -123,12 +148,7 @@
     return;
   LogWork(work->head, TraitsOf(Reason::kTargetLost).token);
   m_life.OnReal(now, RealResult::kBrokenOff, work->head.customer);
-  // Each request that breaks off is suspect at once, before it is known
-  // whether the target is gone: what its entry and others do in the meantime
-  // could take down the next target. One that is innocent is cleared when it
-  // finishes alone.
-  m_quarantine.OnTargetCrashed(
-      now, {CrashedWork{work->head.fingerprint, work->head.is_suspect}});
+  NoteBroken(now, *work);
   m_actions.Push(FailWork{event.work, Reason::kTargetLost, load()});
   AdmissionOutput output =
       m_admission.OnEnded(now, event.work, WorkEnd::kFailed);
@@ -147,7 +167,8 @@
   }
   m_last_announcement = now;
   m_life.OnAnnounced(
-      now, TargetAnnouncement{event.service, event.slots, event.incarnation});
+      now, TargetAnnouncement{event.service, event.slots, event.incarnation,
+                              event.cold_time_left});
   const bool is_changed = !m_announced || m_announced->slots != event.slots ||
                           m_announced->connections != event.connections ||
                           m_announced->incarnation != event.incarnation;
@@ -168,6 +189,129 @@
   SyncAdmission(now);
 }
 
+void OwnerSide::OnHeartbeat(TimePoint now, const TargetHeartbeat& heartbeat) {
+  Obey(now, m_gate.OnHeartbeat(now, heartbeat));
+}
+
+void OwnerSide::OnDeparted(TimePoint now, const InstanceId& instance) {
+  LogLine(LogLevel::kInfo, "target.departed").Add("instance", instance);
+  Obey(now, m_gate.OnDeparted(instance));
+}
+
+bool OwnerSide::OnOwnProbe(TimePoint now, const ProbeAnswered& event) {
+  if (!IsOwnProbe(event.probe))
+    return false;
+  LogLine(LogLevel::kInfo, "target.probed")
+      .Add("instance", event.instance)
+      .Add("healthy", event.is_healthy);
+  Obey(now, m_gate.OnProbe(event.instance, event.is_healthy));
+  return true;
+}
+
+bool OwnerSide::OnOwnProbe(TimePoint now, const ProbeFailed& event) {
+  if (!IsOwnProbe(event.probe))
+    return false;
+  LogLine(LogLevel::kInfo, "target.probe_failed");
+  Obey(now, m_gate.OnProbeFailed());
+  return true;
+}
+
+void OwnerSide::OnRoutesChanged(TimePoint now) {
+  if (m_gate.candidate())
+    ProbeCandidate(now);
+}
+
+void OwnerSide::Obey(TimePoint now, GateVerdict verdict) {
+  switch (verdict) {
+    case GateVerdict::kNone:
+      return;
+    case GateVerdict::kProbe:
+      ProbeCandidate(now);
+      return;
+    case GateVerdict::kOpen:
+      OpenGate(now);
+      return;
+    case GateVerdict::kClose:
+      LogLine(LogLevel::kInfo, "target.gate_closed").Add("instance", m_instance);
+      OnWithdrawn(now);
+      return;
+  }
+}
+
+void OwnerSide::OpenGate(TimePoint now) {
+  const TargetHeartbeat& heartbeat = *m_gate.current();
+  if (heartbeat.instance != m_instance) {
+    // The one before it is gone: what broke off at it may have been its end.
+    AccuseBroken(now);
+    m_instance = heartbeat.instance;
+    ++m_ordinal;
+    LogLine(LogLevel::kInfo, "target.gate_opened")
+        .Add("instance", m_instance)
+        .Add("service", heartbeat.service)
+        .Add("slots", heartbeat.slots)
+        .Add("cold_ms", ToMilliseconds(heartbeat.cold_time_left));
+  }
+  if (m_endpoint != heartbeat.endpoint)
+    m_actions.Push(UseTarget{heartbeat.endpoint});
+  const ServiceProfile* const profile = m_routes.FindService(heartbeat.service);
+  TargetAnnounced announced;
+  announced.service = heartbeat.service;
+  announced.endpoint = heartbeat.endpoint;
+  announced.slots = heartbeat.slots;
+  announced.connections = profile ? profile->max_connections : heartbeat.slots;
+  announced.incarnation = Incarnation(m_ordinal);
+  announced.cold_time_left = heartbeat.cold_time_left;
+  OnAnnounced(now, announced);
+}
+
+// Symptom without a path: the probe would ask for a page that the target does
+// not have, and a sound target would look unhealthy until its next heartbeat.
+void OwnerSide::ProbeCandidate(TimePoint now) {
+  const TargetHeartbeat& candidate = *m_gate.candidate();
+  const ServiceProfile* const profile = m_routes.FindService(candidate.service);
+  if (!profile)
+    return;
+  SendProbe probe;
+  probe.probe = ProbeId(kOwnProbes | ++m_last_probe);
+  probe.endpoint = candidate.endpoint;
+  probe.path = profile->health_path;
+  probe.valid_until = now + kProbeTime;
+  probe.gives_up_at = now + kProbeTime;
+  m_actions.Push(std::move(probe));
+}
+
+// Without the wait for a crash, each request that breaks off is suspect at
+// once: what its entry and others do in the meantime could take down the next
+// target. One that is innocent is cleared when it finishes alone.
+void OwnerSide::NoteBroken(TimePoint now, const Work& work) {
+  const CrashedWork broken{work.head.fingerprint, work.head.is_suspect};
+  if (!m_needs_crash) {
+    m_quarantine.OnTargetCrashed(now, {broken});
+    return;
+  }
+  m_quarantine.OnWorkEnded(work.head.fingerprint);
+  std::erase_if(m_broken, [now](const BrokenWork& old) {
+    return now - old.at > kCrashNoticedWithin;
+  });
+  if (m_broken.size() >= kMaxBroken)
+    m_broken.pop_front();
+  m_broken.push_back({now, broken});
+}
+
+void OwnerSide::AccuseBroken(TimePoint now) {
+  std::vector<CrashedWork> accused;
+  for (const BrokenWork& broken : m_broken) {
+    if (now - broken.at <= kCrashNoticedWithin)
+      accused.push_back(broken.work);
+  }
+  m_broken.clear();
+  if (accused.empty())
+    return;
+  LogLine(LogLevel::kWarning, "target.crash_suspects")
+      .Add("requests", accused.size());
+  m_quarantine.AccuseEnded(now, accused);
+}
+
 void OwnerSide::Drain(TimePoint now) {
   m_is_leaving = true;
   SyncAdmission(now);
@@ -215,7 +359,7 @@
   for (const WorkId id : output.start) {
     Work& work = m_works.at(id);
     work.is_handed_over = true;
-    m_actions.Push(HandToTarget{id, work.deadline - now});
+    m_actions.Push(HandToTarget{id, work.deadline - now, m_instance});
   }
 }
 
--- a/source/core/node_logic/owner_side.h
+++ b/source/core/node_logic/owner_side.h
@@ -5,6 +5,8 @@
 #define BULRUSHMOUNT_CORE_NODE_LOGIC_OWNER_SIDE_H_
 
 #include <cstddef>
+#include <cstdint>
+#include <deque>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -18,14 +20,17 @@
 #include "core/node_logic/node_settings.h"
 #include "core/pipeline/dispatcher.h"
 #include "core/quarantine/quarantine.h"
+#include "core/routes/route_table.h"
+#include "core/target_state/target_gate.h"
 #include "core/target_state/target_life.h"
 
 namespace bulrushmount::detail {
 
 class OwnerSide {
  public:
-  // `quarantine` and `actions` must outlive the object.
+  // All but the settings must outlive the object.
   OwnerSide(const NodeSettings& settings,
+            const RouteTable& routes,
             Quarantine& quarantine,
             ActionSink& actions);
 
@@ -40,6 +45,15 @@
   void OnWithdrawn(TimePoint now);
   void OnProbe(TimePoint now, bool is_healthy);
 
+  // Of targets that are known by an id.
+  void OnHeartbeat(TimePoint now, const TargetHeartbeat& heartbeat);
+  void OnDeparted(TimePoint now, const InstanceId& instance);
+  // False if the probe is none of this object's.
+  bool OnOwnProbe(TimePoint now, const ProbeAnswered& event);
+  bool OnOwnProbe(TimePoint now, const ProbeFailed& event);
+  // The routing document has changed.
+  void OnRoutesChanged(TimePoint now);
+
   // The node leaves: no new work, what runs goes on.
   void Drain(TimePoint now);
 
@@ -62,6 +76,12 @@
     int status = 0;
   };
 
+  // An exchange that broke off, while nobody knows whether the target is down.
+  struct BrokenWork {
+    TimePoint at;
+    CrashedWork work;
+  };
+
   Reason ReasonToRefuse(TimePoint now, const WorkHead& head);
   void Apply(TimePoint now, const AdmissionOutput& output);
   void Refuse(WorkId work, Reason reason);
@@ -74,8 +94,14 @@
   void NoteCrash(TimePoint now);
   bool IsAnyHandedOver() const;
   void CheckAnnouncements(TimePoint now);
+  void Obey(TimePoint now, GateVerdict verdict);
+  void OpenGate(TimePoint now);
+  void ProbeCandidate(TimePoint now);
+  void NoteBroken(TimePoint now, const Work& work);
+  void AccuseBroken(TimePoint now);
   void SyncAdmission(TimePoint now);
 
+  const RouteTable& m_routes;
   Quarantine& m_quarantine;
   ActionSink& m_actions;
   TargetLife m_life;
@@ -87,6 +113,16 @@
   // Whether the admission was told to take work.
   bool m_is_admitting = false;
 
+  TargetGate m_gate;
+  // Stands in for the incarnation of targets that are known by an id: one more
+  // at each that the gate lets in.
+  std::uint64_t m_ordinal = 0;
+  InstanceId m_instance;
+  std::uint64_t m_last_probe = 0;
+  bool m_needs_crash = false;
+  // Exchanges that broke off of late; newest last.
+  std::deque<BrokenWork> m_broken;
+
   // When the announcement last came, and how long after the one before it.
   // Targets that announce themselves once only have no period.
   TimePoint m_last_announcement;
--- a/source/core/node_logic/ports.h
+++ b/source/core/node_logic/ports.h
@@ -15,7 +15,7 @@
 #include "core/membership/membership.h"
 #include "core/node_logic/actions.h"
 #include "core/pipeline/dispatcher.h"
-#include "core/platform/table_service.h"
+#include "core/store/table_service.h"
 #include "core/quarantine/broadcast_port.h"
 
 namespace bulrushmount::detail {
--- a/source/core/pipeline/call.h
+++ b/source/core/pipeline/call.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <vector>
 
@@ -24,6 +25,10 @@
   KindTerms kind;
   double share = 1.0;
   Duration key_retention{};
+  // 0 is the most urgent.
+  std::uint32_t priority = 0;
+  // Targets that the call may be handed to.
+  std::uint32_t max_hand_overs = std::numeric_limits<std::uint32_t>::max();
 };
 
 // One attempt that has been sent and has not ended.
@@ -54,6 +59,8 @@
 
   std::optional<Attempt> attempt;
   std::uint32_t attempts_made = 0;
+  // Of these, those that reached a target, or may have.
+  std::uint32_t hand_overs = 0;
   std::vector<NodeId> tried;
   Reason last_refusal = Reason::kNone;
   // Some attempt ended without a refusal and without a whole answer.
--- a/source/core/pipeline/dispatcher.cc
+++ b/source/core/pipeline/dispatcher.cc
@@ -12,6 +12,11 @@
 
 constexpr int kFirstServerError = 500;
 
+// Whether the request reached a target, although that did not run it.
+bool HasArrived(Reason reason) {
+  return reason == Reason::kShed || reason == Reason::kWrongTarget;
+}
+
 AnswerQuality QualityOf(int status) {
   return status >= kFirstServerError ? AnswerQuality::kServerError
                                      : AnswerQuality::kGood;
@@ -34,10 +39,13 @@
   m_parts.router.OnRefused(now, call->attempt->dispatch, event.reason,
                            event.load);
   call->last_refusal = event.reason;
+  const bool has_arrived = HasArrived(event.reason);
+  if (has_arrived)
+    ++call->hand_overs;
   // Another owner would refuse a suspect request too.
   const bool is_worth_it =
       event.reason != Reason::kQuarantined && event.reason != Reason::kSuspect;
-  if (EndAttempt(now, *call, is_worth_it))
+  if (EndAttempt(now, *call, is_worth_it, has_arrived))
     TryNextOwner(now, *call);
   else
     GiveUp(now, *call, event.reason);
@@ -64,7 +72,7 @@
   if (!call || !call->attempt->is_answer_begun)
     return;
   m_parts.router.OnEnded(now, call->attempt->dispatch, event.load);
-  EndAttempt(now, *call, false);
+  EndAttempt(now, *call, false, true);
   CallEnd end;
   end.outcome = Outcome::kAnswered;
   end.answer.status = call->answer_status;
@@ -83,11 +91,13 @@
   m_parts.router.OnLost(now, call->attempt->dispatch);
   const bool is_worth_it =
       event.is_certainly_not_run || MaySendUnknown(*call, event.reason);
-  if (event.is_certainly_not_run)
+  if (event.is_certainly_not_run) {
     call->last_refusal = event.reason;
-  else
+  } else {
+    ++call->hand_overs;
     NoteUnknown(*call, event.reason);
-  if (EndAttempt(now, *call, is_worth_it))
+  }
+  if (EndAttempt(now, *call, is_worth_it, !event.is_certainly_not_run))
     TryNextOwner(now, *call);
   else
     GiveUp(now, *call, event.reason);
@@ -176,7 +186,7 @@
   const ServiceName& service = call.head.service;
   return call.attempts_made < m_settings.max_attempts &&
          call.tried.size() < m_parts.router.TargetsOf(service) &&
-         m_parts.retries.Reserve(now, service);
+         (m_settings.is_refusal_free || m_parts.retries.Reserve(now, service));
 }
 
 WorkHead Dispatcher::MakeWorkHead(TimePoint now, const Call& call) const {
@@ -195,22 +205,31 @@
   head.is_repeatable = call.terms.kind.is_repeatable;
   head.is_suspect = call.holds_permit;
   head.is_last_attempt = !call.attempt->has_retry;
+  head.priority = call.terms.priority;
   return head;
 }
 
 // A request that was running when its target was lost may be what crashed it:
 // sending it on would take the next target down too.
-bool Dispatcher::MaySendUnknown(const Call& call, Reason reason) {
+bool Dispatcher::MaySendUnknown(const Call& call, Reason reason) const {
+  const bool may_have_crashed_target =
+      reason == Reason::kTargetLost && !m_settings.is_refusal_free;
   return call.terms.kind.is_repeatable && !call.may_have_run &&
          !call.attempt->is_answer_begun && call.head.is_body_buffered &&
-         reason != Reason::kTargetLost && !call.holds_permit;
+         !may_have_crashed_target && !call.holds_permit;
 }
 
-bool Dispatcher::EndAttempt(TimePoint now, Call& call, bool is_worth_it) {
+bool Dispatcher::EndAttempt(TimePoint now,
+                            Call& call,
+                            bool is_worth_it,
+                            bool has_arrived) {
   const bool has_retry = call.attempt->has_retry;
   call.attempt.reset();
   if (!has_retry)
     return false;
+  if (m_settings.is_refusal_free)
+    return is_worth_it && now < call.deadline &&
+           (!has_arrived || TakeRetry(now, call));
   if (is_worth_it && now < call.deadline) {
     m_parts.retries.Spend(now, call.head.service);
     return true;
@@ -219,6 +238,16 @@
   return false;
 }
 
+// A further hand-over, within what the operator allows the call and within the
+// budget of the fleet.
+bool Dispatcher::TakeRetry(TimePoint now, const Call& call) {
+  if (call.hand_overs >= call.terms.max_hand_overs ||
+      !m_parts.retries.Reserve(now, call.head.service))
+    return false;
+  m_parts.retries.Spend(now, call.head.service);
+  return true;
+}
+
 void Dispatcher::GiveUp(TimePoint now, Call& call, Reason reason) {
   CallEnd end{Outcome::kNotRun, reason, {}, false};
   // Once an attempt may have run, no later refusal makes the call "not run".
@@ -235,7 +264,7 @@
   m_parts.router.OnCancelled(now, call.attempt->dispatch);
   m_parts.actions.Push(CancelAttempt{call.id, call.attempt->number});
   NoteUnknown(call, reason);
-  EndAttempt(now, call, false);
+  EndAttempt(now, call, false, true);
 }
 
 void Dispatcher::NoteUnknown(Call& call, Reason reason) {
--- a/source/core/pipeline/dispatcher.h
+++ b/source/core/pipeline/dispatcher.h
@@ -37,6 +37,8 @@
 struct DispatcherSettings {
   NodeId self;
   std::uint32_t max_attempts = 4;
+  // See NodeSettings.
+  bool is_refusal_free = false;
   // Answers up to this size are kept for the repeats of a keyed request.
   std::size_t max_kept_answer_bytes = std::size_t{16} * 1024;
 };
@@ -81,10 +83,14 @@
   bool ReserveRetry(TimePoint now, const Call& call);
   WorkHead MakeWorkHead(TimePoint now, const Call& call) const;
   // Whether an attempt whose outcome is unknown may be followed by another.
-  static bool MaySendUnknown(const Call& call, Reason reason);
+  bool MaySendUnknown(const Call& call, Reason reason) const;
   // Takes the call's attempt away. True if the call is to be sent again: the
   // retry is then counted.
-  bool EndAttempt(TimePoint now, Call& call, bool is_worth_it);
+  bool EndAttempt(TimePoint now,
+                  Call& call,
+                  bool is_worth_it,
+                  bool has_arrived);
+  bool TakeRetry(TimePoint now, const Call& call);
   void GiveUp(TimePoint now, Call& call, Reason reason);
   // Gives up an attempt that is under way: it may have run.
   void AbandonAttempt(TimePoint now, Call& call, Reason reason);
--- /dev/null
+++ b/source/core/pipeline/route_filter.cc
@@ -0,0 +1,34 @@
+// Part of `route_filter.h`.
+
+#include "core/pipeline/route_filter.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace bulrushmount {
+
+FilterVerdict RouteFilter::OnCall(TimePoint now, Call& call) {
+  if (!m_routes.is_known())
+    return RefuseCall(Reason::kConfigurationUnknown);
+  const std::optional<RouteMatch> match =
+      m_routes.Match(call.head.host, call.head.target);
+  if (!match)
+    return RefuseCall(Reason::kNoRoute);
+  const Route& route = *match->route;
+  call.head.service = *match->service;
+  KindTerms& kind = call.terms.kind;
+  kind.name = route.name;
+  kind.is_repeatable = route.is_repeatable;
+  kind.key_policy = KeyPolicy::kOptional;
+  kind.deadline = route.timeout;
+  kind.objective.within = route.latency_objective;
+  call.terms.priority = route.priority;
+  call.terms.max_hand_overs = route.max_attempts;
+  // The caller may only shorten what the operator grants.
+  call.deadline =
+      now + std::min(call.head.deadline.value_or(route.timeout), route.timeout);
+  m_pipeline.ArmDeadline(call);
+  return PassCall{};
+}
+
+}  // namespace bulrushmount
--- a/source/core/quarantine/quarantine.cc
+++ b/source/core/quarantine/quarantine.cc
@@ -121,8 +121,14 @@
 
 void Quarantine::OnTargetCrashed(TimePoint now,
                                  const std::vector<CrashedWork>& works) {
-  for (const CrashedWork& work : works) {
+  for (const CrashedWork& work : works)
     OnWorkEnded(work.fingerprint);
+  AccuseEnded(now, works);
+}
+
+void Quarantine::AccuseEnded(TimePoint now,
+                             const std::vector<CrashedWork>& works) {
+  for (const CrashedWork& work : works) {
     NoteAndSpread(now, work.fingerprint,
                   work.is_suspect ? SuspicionState::kConvicted
                                   : SuspicionState::kSuspect);
--- a/source/core/quarantine/quarantine.h
+++ b/source/core/quarantine/quarantine.h
@@ -108,6 +108,10 @@
   // ended; these owe no OnWorkEnded.
   void OnTargetCrashed(TimePoint now, const std::vector<CrashedWork>& works);
 
+  // The same for works whose OnWorkEnded was called before it was known that
+  // the target went down.
+  void AccuseEnded(TimePoint now, const std::vector<CrashedWork>& works);
+
   // --- All ---
 
   // All live members; this node is added if it is missing.
--- a/source/core/settings/daemon_settings.cc
+++ b/source/core/settings/daemon_settings.cc
@@ -74,6 +74,8 @@
   if (endpoint.has_value() && !has_token && !AddressOf(*endpoint).is_loopback())
     faults.Add(operators->position,
                "without operator_token_file it must be a loopback address");
+  addresses.metrics = ReadEndpoint(map.Optional("metrics"), faults);
+  addresses.readiness = ReadEndpoint(map.Optional("readiness"), faults);
   CheckDistinct(addresses, node->position, faults);
   map.Finish();
 }
@@ -131,6 +133,35 @@
   Assign(ReadNumber(map.Optional("fleet_config_polls_per_second"),
                     {0.01, 1'000}, faults),
          settings.fleet_config_polls_per_second);
+  Assign(ReadDuration(map.Optional("directory_interval"),
+                      {seconds(1), hours(1)}, faults),
+         settings.directory_interval);
+  map.Finish();
+}
+
+void ReadTarget(const YamlNode* node,
+                TargetSettings& target,
+                YamlFaults& faults) {
+  if (node == nullptr)
+    return;
+  YamlMapReader map(*node, faults);
+  target.service = ServiceName(
+      ReadName(map.Required("service"), faults).value_or(""));
+  map.Finish();
+}
+
+void ReadShutdown(const YamlNode* node,
+                  NodeSettings& settings,
+                  YamlFaults& faults) {
+  if (node == nullptr)
+    return;
+  YamlMapReader map(*node, faults);
+  Assign(ReadDuration(map.Optional("leave_time"), {Duration(0), minutes(10)},
+                      faults),
+         settings.leave_time);
+  Assign(ReadDuration(map.Optional("longest_leave"), {seconds(1), hours(24)},
+                      faults),
+         settings.longest_leave);
   map.Finish();
 }
 
@@ -142,6 +173,11 @@
   YamlMapReader map(*node, faults);
   Assign(ReadNumber(map.Optional("retry_budget_fraction"), {0, 1}, faults),
          settings.retry_budget_fraction);
+  Assign(ReadDuration(map.Optional("retry_window"),
+                      {milliseconds(100), hours(1)}, faults),
+         settings.retry_window);
+  Assign(ReadNumber(map.Optional("retry_slack"), {0, 1'000'000}, faults),
+         settings.retry_slack);
   Assign(ReadCount(map.Optional("max_attempts"), 1, 16, faults),
          settings.max_attempts);
   Assign(ReadDuration(map.Optional("zone_round_trip"),
@@ -188,6 +224,8 @@
   ReadTransport(map.Optional("transport"), settings, faults);
   ReadMembership(map.Optional("membership"), settings.node, faults);
   ReadRouting(map.Optional("routing"), settings.node, faults);
+  ReadShutdown(map.Optional("shutdown"), settings.node, faults);
+  ReadTarget(map.Optional("target"), settings.target, faults);
   Assign(ReadLogLevel(map.Optional("log_level"), faults), settings.log_level);
   settings.node.zone = AvailabilityZone(
       ReadName(map.Required("availability_zone"), faults).value_or(""));
--- a/source/core/settings/daemon_settings.h
+++ b/source/core/settings/daemon_settings.h
@@ -31,6 +31,11 @@
   Endpoint target;
   // Operators: contracts, status, metrics.
   Endpoint operators;
+  // Metrics, for anybody who reaches it; empty: only on the operators' one.
+  std::optional<Endpoint> metrics;
+  // Whether the node is ready, for a platform that asks; empty: only on the
+  // operators' one.
+  std::optional<Endpoint> readiness;
 
   friend bool operator==(const AddressSettings&,
                          const AddressSettings&) = default;
@@ -59,8 +64,16 @@
                          const TransportSettings&) = default;
 };
 
+// The target beside the node, as far as it is known before it says a word.
+struct TargetSettings {
+  ServiceName service;
+
+  friend bool operator==(const TargetSettings&, const TargetSettings&) = default;
+};
+
 struct DaemonSettings {
   AddressSettings addresses;
+  TargetSettings target;
   PlatformSettings platform;
   TransportSettings transport;
   // Holds the bearer token of the operator address. Without one that address
--- a/source/core/platform/http_client.cc
+++ b/source/core/store/http_client.cc
@@ -1,7 +1,7 @@
 // A pool hands its connections to exchanges; an exchange is one request with
 // its answer and its time-out.
 
-#include "core/platform/http_client.h"
+#include "core/store/http_client.h"
 
 #include <algorithm>
 #include <deque>
@@ -17,7 +17,8 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
-#include "core/platform/idle_sockets.h"
+#include "core/common/tcp_options.h"
+#include "core/store/idle_sockets.h"
 
 namespace bulrushmount {
 namespace detail {
@@ -62,14 +63,16 @@
  public:
   HttpExchange(std::shared_ptr<HttpConnectionPool> pool,
                HttpRequest request,
+               Duration timeout,
                HttpClient::Callback callback)
       : m_pool(std::move(pool)),
         m_request(std::move(request)),
+        m_timeout(timeout),
         m_callback(std::move(callback)),
         m_timer(m_pool->io()) {}
 
   void StartTimer() {
-    m_timer.expires_after(m_pool->settings().timeout);
+    m_timer.expires_after(m_timeout);
     m_timer.async_wait([self = shared_from_this()](error_code error) {
       if (!error) {
         self->Fail(self->m_may_have_written);
@@ -115,6 +118,7 @@
                               error_code ignored;
                               self->m_socket->set_option(
                                   asio::ip::tcp::no_delay(true), ignored);
+                              DetectDeadPeer(self->m_socket->native_handle());
                               self->Write();
                             });
   }
@@ -207,6 +211,7 @@
 
   std::shared_ptr<HttpConnectionPool> m_pool;
   HttpRequest m_request;
+  Duration m_timeout;
   HttpClient::Callback m_callback;
   asio::steady_timer m_timer;
   std::unique_ptr<Socket> m_socket;
@@ -266,10 +271,17 @@
 }
 
 void HttpClient::Send(HttpRequest request, Callback callback) {
+  Send(std::move(request), m_pool->settings().timeout, std::move(callback));
+}
+
+void HttpClient::Send(HttpRequest request,
+                      Duration timeout,
+                      Callback callback) {
   request.set(boost::beast::http::field::host,
               ToString(m_pool->settings().server));
   request.prepare_payload();
   m_pool->Add(std::make_shared<detail::HttpExchange>(m_pool, std::move(request),
+                                                     timeout,
                                                      std::move(callback)));
 }
 
--- a/source/core/platform/http_client.h
+++ b/source/core/store/http_client.h
@@ -1,8 +1,8 @@
 // An HTTP/1.1 client with a few keep-alive connections to one server, which
 // tells apart what certainly was not sent from what may have arrived.
 
-#ifndef BULRUSHMOUNT_CORE_PLATFORM_HTTP_CLIENT_H_
-#define BULRUSHMOUNT_CORE_PLATFORM_HTTP_CLIENT_H_
+#ifndef BULRUSHMOUNT_CORE_STORE_HTTP_CLIENT_H_
+#define BULRUSHMOUNT_CORE_STORE_HTTP_CLIENT_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -66,6 +66,8 @@
   // Calls `callback` exactly once, from a handler of the io_context and never
   // before returning. Sends nothing twice.
   void Send(HttpRequest request, Callback callback);
+  // With another time-out than that of the settings.
+  void Send(HttpRequest request, Duration timeout, Callback callback);
 
  private:
   std::shared_ptr<detail::HttpConnectionPool> m_pool;
@@ -73,4 +75,4 @@
 
 }  // namespace bulrushmount
 
-#endif  // BULRUSHMOUNT_CORE_PLATFORM_HTTP_CLIENT_H_
+#endif  // BULRUSHMOUNT_CORE_STORE_HTTP_CLIENT_H_
--- a/source/core/platform/http_object_store.cc
+++ b/source/core/store/http_object_store.cc
@@ -1,11 +1,11 @@
 // Maps HTTP statuses to the object store's.
 
-#include "core/platform/http_object_store.h"
+#include "core/store/http_object_store.h"
 
 #include <boost/beast/http/field.hpp>
 #include <boost/leaf/handle_errors.hpp>
 
-#include "core/platform/table_codec.h"
+#include "core/store/table_codec.h"
 
 namespace bulrushmount {
 namespace {
--- a/source/core/platform/http_object_store.h
+++ b/source/core/store/http_object_store.h
@@ -1,16 +1,16 @@
 // The platform's object store over HTTP/1.1: GET and PUT on /v1/objects/KEY,
 // the key in hexadecimal digits.
 
-#ifndef BULRUSHMOUNT_CORE_PLATFORM_HTTP_OBJECT_STORE_H_
-#define BULRUSHMOUNT_CORE_PLATFORM_HTTP_OBJECT_STORE_H_
+#ifndef BULRUSHMOUNT_CORE_STORE_HTTP_OBJECT_STORE_H_
+#define BULRUSHMOUNT_CORE_STORE_HTTP_OBJECT_STORE_H_
 
 #include <string>
 #include <utility>
 
 #include <boost/asio/io_context.hpp>
 
-#include "core/platform/http_client.h"
-#include "core/platform/object_store.h"
+#include "core/store/http_client.h"
+#include "core/store/object_store.h"
 
 namespace bulrushmount {
 
@@ -35,4 +35,4 @@
 
 }  // namespace bulrushmount
 
-#endif  // BULRUSHMOUNT_CORE_PLATFORM_HTTP_OBJECT_STORE_H_
+#endif  // BULRUSHMOUNT_CORE_STORE_HTTP_OBJECT_STORE_H_
--- a/source/core/platform/http_table_service.cc
+++ b/source/core/store/http_table_service.cc
@@ -1,6 +1,6 @@
 // Maps what became of the HTTP exchange to the table's statuses.
 
-#include "core/platform/http_table_service.h"
+#include "core/store/http_table_service.h"
 
 #include <utility>
 
@@ -8,7 +8,7 @@
 #include <boost/leaf/handle_errors.hpp>
 
 #include "core/common/logging.h"
-#include "core/platform/table_codec.h"
+#include "core/store/table_codec.h"
 
 namespace bulrushmount {
 namespace {
--- a/source/core/platform/http_table_service.h
+++ b/source/core/store/http_table_service.h
@@ -1,12 +1,12 @@
 // The platform's table service over HTTP/1.1 and JSON.
 
-#ifndef BULRUSHMOUNT_CORE_PLATFORM_HTTP_TABLE_SERVICE_H_
-#define BULRUSHMOUNT_CORE_PLATFORM_HTTP_TABLE_SERVICE_H_
+#ifndef BULRUSHMOUNT_CORE_STORE_HTTP_TABLE_SERVICE_H_
+#define BULRUSHMOUNT_CORE_STORE_HTTP_TABLE_SERVICE_H_
 
 #include <boost/asio/io_context.hpp>
 
-#include "core/platform/http_client.h"
-#include "core/platform/table_service.h"
+#include "core/store/http_client.h"
+#include "core/store/table_service.h"
 
 namespace bulrushmount {
 
@@ -15,6 +15,7 @@
   HttpTableService(boost::asio::io_context& io, HttpClientSettings settings)
       : m_client(io, std::move(settings)) {}
 
+  // This protocol has no watch: it is answered kHistoryLost at once.
   // kUnavailable: no byte left, or the service said that it did nothing.
   // kUnknown: time-out, broken connection or unreadable answer after that.
   void Submit(TableRequest request, Callback callback) override;
@@ -25,4 +26,4 @@
 
 }  // namespace bulrushmount
 
-#endif  // BULRUSHMOUNT_CORE_PLATFORM_HTTP_TABLE_SERVICE_H_
+#endif  // BULRUSHMOUNT_CORE_STORE_HTTP_TABLE_SERVICE_H_
--- a/source/core/platform/idle_sockets.cc
+++ b/source/core/store/idle_sockets.cc
@@ -1,6 +1,6 @@
 // Part of `idle_sockets.h`.
 
-#include "core/platform/idle_sockets.h"
+#include "core/store/idle_sockets.h"
 
 #include <utility>
 
--- a/source/core/platform/idle_sockets.h
+++ b/source/core/store/idle_sockets.h
@@ -1,7 +1,7 @@
 // Connections kept open between requests, for clients that use one again.
 
-#ifndef BULRUSHMOUNT_CORE_PLATFORM_IDLE_SOCKETS_H_
-#define BULRUSHMOUNT_CORE_PLATFORM_IDLE_SOCKETS_H_
+#ifndef BULRUSHMOUNT_CORE_STORE_IDLE_SOCKETS_H_
+#define BULRUSHMOUNT_CORE_STORE_IDLE_SOCKETS_H_
 
 #include <memory>
 #include <vector>
@@ -28,4 +28,4 @@
 
 }  // namespace bulrushmount
 
-#endif  // BULRUSHMOUNT_CORE_PLATFORM_IDLE_SOCKETS_H_
+#endif  // BULRUSHMOUNT_CORE_STORE_IDLE_SOCKETS_H_
--- a/source/core/platform/in_memory_object_store.cc
+++ b/source/core/store/in_memory_object_store.cc
@@ -1,6 +1,6 @@
 // Part of `in_memory_object_store.h`.
 
-#include "core/platform/in_memory_object_store.h"
+#include "core/store/in_memory_object_store.h"
 
 #include <utility>
 
--- a/source/core/platform/in_memory_object_store.h
+++ b/source/core/store/in_memory_object_store.h
@@ -1,7 +1,7 @@
 // Objects in memory: what the platform stand-in and the tests keep them in.
 
-#ifndef BULRUSHMOUNT_CORE_PLATFORM_IN_MEMORY_OBJECT_STORE_H_
-#define BULRUSHMOUNT_CORE_PLATFORM_IN_MEMORY_OBJECT_STORE_H_
+#ifndef BULRUSHMOUNT_CORE_STORE_IN_MEMORY_OBJECT_STORE_H_
+#define BULRUSHMOUNT_CORE_STORE_IN_MEMORY_OBJECT_STORE_H_
 
 #include <map>
 #include <string>
@@ -22,4 +22,4 @@
 
 }  // namespace bulrushmount
 
-#endif  // BULRUSHMOUNT_CORE_PLATFORM_IN_MEMORY_OBJECT_STORE_H_
+#endif  // BULRUSHMOUNT_CORE_STORE_IN_MEMORY_OBJECT_STORE_H_
--- a/source/core/platform/in_memory_table.cc
+++ b/source/core/store/in_memory_table.cc
@@ -1,6 +1,6 @@
 // The table's get, scan and transact over a sorted map.
 
-#include "core/platform/in_memory_table.h"
+#include "core/store/in_memory_table.h"
 
 #include <variant>
 
@@ -10,6 +10,9 @@
   if (const auto* get = std::get_if<TableGet>(&request)) {
     return Get(*get);
   }
+  if (const auto* watch = std::get_if<TableWatch>(&request)) {
+    return Watch(*watch);
+  }
   if (const auto* scan = std::get_if<TableScan>(&request)) {
     return Scan(*scan);
   }
@@ -27,6 +30,14 @@
   return reply;
 }
 
+TableReply InMemoryTable::Watch(const TableWatch& watch) const {
+  TableReply reply = Get(TableGet{watch.key});
+  std::erase_if(reply.rows, [&watch](const Row& row) {
+    return row.version <= watch.after;
+  });
+  return reply;
+}
+
 TableReply InMemoryTable::Scan(const TableScan& scan) const {
   TableReply reply;
   reply.status = TableStatus::kOk;
--- a/source/core/platform/in_memory_table.h
+++ b/source/core/store/in_memory_table.h
@@ -1,14 +1,14 @@
 // The semantics of the platform's table, in memory. The fake of the unit tests
 // and the platform stand-in share it, so that both behave alike.
 
-#ifndef BULRUSHMOUNT_CORE_PLATFORM_IN_MEMORY_TABLE_H_
-#define BULRUSHMOUNT_CORE_PLATFORM_IN_MEMORY_TABLE_H_
+#ifndef BULRUSHMOUNT_CORE_STORE_IN_MEMORY_TABLE_H_
+#define BULRUSHMOUNT_CORE_STORE_IN_MEMORY_TABLE_H_
 
 #include <cstdint>
 #include <map>
 #include <string>
 
-#include "core/platform/table_types.h"
+#include "core/store/table_types.h"
 
 namespace bulrushmount {
 
@@ -28,6 +28,8 @@
 
   TableReply Get(const TableGet& get) const;
   TableReply Scan(const TableScan& scan) const;
+  // As if the wait had passed.
+  TableReply Watch(const TableWatch& watch) const;
   TableReply Transact(const TableTransact& transact);
   // The current rows of the conditions that fail; without a row for a key that
   // does not exist. `has_failed` tells whether any did.
@@ -42,4 +44,4 @@
 
 }  // namespace bulrushmount
 
-#endif  // BULRUSHMOUNT_CORE_PLATFORM_IN_MEMORY_TABLE_H_
+#endif  // BULRUSHMOUNT_CORE_STORE_IN_MEMORY_TABLE_H_
--- a/source/core/platform/object_store.h
+++ b/source/core/store/object_store.h
@@ -1,8 +1,8 @@
 // The platform's object store, whatever adapter reaches it: for things too
 // large for a row.
 
-#ifndef BULRUSHMOUNT_CORE_PLATFORM_OBJECT_STORE_H_
-#define BULRUSHMOUNT_CORE_PLATFORM_OBJECT_STORE_H_
+#ifndef BULRUSHMOUNT_CORE_STORE_OBJECT_STORE_H_
+#define BULRUSHMOUNT_CORE_STORE_OBJECT_STORE_H_
 
 #include <cstdint>
 #include <functional>
@@ -50,4 +50,4 @@
 
 }  // namespace bulrushmount
 
-#endif  // BULRUSHMOUNT_CORE_PLATFORM_OBJECT_STORE_H_
+#endif  // BULRUSHMOUNT_CORE_STORE_OBJECT_STORE_H_
--- a/source/core/platform/table_codec.cc
+++ b/source/core/store/table_codec.cc
@@ -1,6 +1,6 @@
 // Boost.JSON on one side, the table's typed values on the other.
 
-#include "core/platform/table_codec.h"
+#include "core/store/table_codec.h"
 
 #include <array>
 #include <iterator>
--- a/source/core/platform/table_codec.h
+++ b/source/core/store/table_codec.h
@@ -1,8 +1,8 @@
 // Table requests and replies as JSON bodies, for the HTTP adapter and for the
 // platform stand-in. docs/design/platform.md describes the protocol.
 
-#ifndef BULRUSHMOUNT_CORE_PLATFORM_TABLE_CODEC_H_
-#define BULRUSHMOUNT_CORE_PLATFORM_TABLE_CODEC_H_
+#ifndef BULRUSHMOUNT_CORE_STORE_TABLE_CODEC_H_
+#define BULRUSHMOUNT_CORE_STORE_TABLE_CODEC_H_
 
 #include <cstdint>
 #include <string>
@@ -10,7 +10,7 @@
 
 #include <boost/leaf/result.hpp>
 
-#include "core/platform/table_types.h"
+#include "core/store/table_types.h"
 
 namespace bulrushmount {
 
@@ -42,4 +42,4 @@
 
 }  // namespace bulrushmount
 
-#endif  // BULRUSHMOUNT_CORE_PLATFORM_TABLE_CODEC_H_
+#endif  // BULRUSHMOUNT_CORE_STORE_TABLE_CODEC_H_
--- a/source/core/platform/table_service.h
+++ b/source/core/store/table_service.h
@@ -2,13 +2,13 @@
 // take one as an argument too: node_logic hands them one that emits an action
 // for each request.
 
-#ifndef BULRUSHMOUNT_CORE_PLATFORM_TABLE_SERVICE_H_
-#define BULRUSHMOUNT_CORE_PLATFORM_TABLE_SERVICE_H_
+#ifndef BULRUSHMOUNT_CORE_STORE_TABLE_SERVICE_H_
+#define BULRUSHMOUNT_CORE_STORE_TABLE_SERVICE_H_
 
 #include <functional>
 
 #include "core/common/time.h"
-#include "core/platform/table_types.h"
+#include "core/store/table_types.h"
 
 namespace bulrushmount {
 
@@ -26,4 +26,4 @@
 
 }  // namespace bulrushmount
 
-#endif  // BULRUSHMOUNT_CORE_PLATFORM_TABLE_SERVICE_H_
+#endif  // BULRUSHMOUNT_CORE_STORE_TABLE_SERVICE_H_
--- a/source/core/platform/table_types.h
+++ b/source/core/store/table_types.h
@@ -1,8 +1,8 @@
 // The requests to the platform's transactional table service and its replies,
 // as values: decision modules emit the ones and take the others.
 
-#ifndef BULRUSHMOUNT_CORE_PLATFORM_TABLE_TYPES_H_
-#define BULRUSHMOUNT_CORE_PLATFORM_TABLE_TYPES_H_
+#ifndef BULRUSHMOUNT_CORE_STORE_TABLE_TYPES_H_
+#define BULRUSHMOUNT_CORE_STORE_TABLE_TYPES_H_
 
 #include <cstdint>
 #include <string>
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "core/common/strong_type.h"
+#include "core/common/time.h"
 
 namespace bulrushmount {
 
@@ -36,6 +37,15 @@
   std::string prefix;
 };
 
+// Answered as soon as the row is newer than `after`, or with no row once
+// `wait` has passed. A table may not keep enough of the past to tell: then the
+// status is kHistoryLost, and a get tells what is there.
+struct TableWatch {
+  std::string key;
+  RowVersion after;
+  Duration wait{};
+};
+
 // The row has this version (kNoRow: does not exist).
 struct RowCondition {
   std::string key;
@@ -54,7 +64,8 @@
   std::vector<std::string> deletes;
 };
 
-using TableRequest = std::variant<TableGet, TableScan, TableTransact>;
+using TableRequest =
+    std::variant<TableGet, TableScan, TableWatch, TableTransact>;
 
 enum class TableStatus : std::uint8_t {
   kOk,
@@ -65,16 +76,21 @@
   kUnknown,
   // Certainly without effect (the connection was refused).
   kUnavailable,
+  // Only of a watch: read the row again.
+  kHistoryLost,
 };
 
 struct TableReply {
   TableStatus status = TableStatus::kUnknown;
-  // Get: the row, or none. Scan: all rows. Transact with kOk: the rows put,
+  // Get: the row, or none. Scan: all rows. Watch: the row as changed, or none. Transact with kOk: the rows put,
   // with their new versions and without values. Transact with
   // kConditionFailed: the current rows of the conditions that failed.
   std::vector<Row> rows;
+  // Get and watch: the newest version of any row of the table that the reply
+  // takes into account; 0 if the table does not tell. A watch goes on from it.
+  RowVersion as_of;
 };
 
 }  // namespace bulrushmount
 
-#endif  // BULRUSHMOUNT_CORE_PLATFORM_TABLE_TYPES_H_
+#endif  // BULRUSHMOUNT_CORE_STORE_TABLE_TYPES_H_
--- /dev/null
+++ b/source/core/target_state/target_gate.cc
@@ -0,0 +1,104 @@
+// Part of `target_gate.h`.
+
+#include "core/target_state/target_gate.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/common/logging.h"
+
+namespace bulrushmount {
+
+namespace {
+
+// Targets that follow one another beside one node while a heartbeat can still
+// be under way: a restart takes seconds, and a delayed heartbeat comes within
+// minutes.
+constexpr std::size_t kMaxRecords = 64;
+
+}  // namespace
+
+GateVerdict TargetGate::OnHeartbeat(TimePoint now,
+                                    const TargetHeartbeat& heartbeat) {
+  Record& record = RecordOf(heartbeat.instance);
+  // Draining is for good, however old the word is.
+  if (heartbeat.readiness == TargetReadiness::kDraining)
+    return Close(heartbeat.instance);
+  const bool is_stale = heartbeat.sequence <= record.newest_sequence;
+  if (record.is_closed || is_stale) {
+    LogLine(LogLevel::kInfo, "target.heartbeat_ignored")
+        .Add("instance", heartbeat.instance)
+        .Add("sequence", heartbeat.sequence)
+        .Add("newest_sequence", record.newest_sequence)
+        .Add("closed", record.is_closed);
+    return GateVerdict::kNone;
+  }
+  record.newest_sequence = heartbeat.sequence;
+  const bool is_current =
+      m_current && m_current->instance == heartbeat.instance;
+  const bool is_second_word =
+      m_candidate && m_candidate->instance == heartbeat.instance;
+  if (is_current || is_second_word)
+    return Open(heartbeat);
+  m_candidate = heartbeat;
+  return GateVerdict::kProbe;
+}
+
+GateVerdict TargetGate::OnDeparted(const InstanceId& instance) {
+  return Close(instance);
+}
+
+GateVerdict TargetGate::OnProbe(const InstanceId& instance, bool is_healthy) {
+  if (!m_candidate)
+    return GateVerdict::kNone;
+  const bool is_other =
+      !instance.value().empty() && instance != m_candidate->instance;
+  if (is_other) {
+    // The word was late: another target has the place by now.
+    RecordOf(m_candidate->instance).is_closed = true;
+    m_candidate.reset();
+    return GateVerdict::kNone;
+  }
+  // An unhealthy one may drain, or say so wrongly: its next heartbeat tells.
+  if (!is_healthy)
+    return GateVerdict::kNone;
+  const TargetHeartbeat confirmed = *m_candidate;
+  return Open(confirmed);
+}
+
+GateVerdict TargetGate::OnProbeFailed() {
+  return GateVerdict::kNone;
+}
+
+TargetGate::Record& TargetGate::RecordOf(const InstanceId& instance) {
+  const auto found = std::find_if(m_records.begin(), m_records.end(),
+                                  [&instance](const Record& record) {
+                                    return record.instance == instance;
+                                  });
+  if (found != m_records.end())
+    return *found;
+  if (m_records.size() >= kMaxRecords)
+    m_records.pop_front();
+  m_records.push_back(Record{instance, 0, false});
+  return m_records.back();
+}
+
+GateVerdict TargetGate::Close(const InstanceId& instance) {
+  RecordOf(instance).is_closed = true;
+  if (m_candidate && m_candidate->instance == instance)
+    m_candidate.reset();
+  if (!m_current || m_current->instance != instance)
+    return GateVerdict::kNone;
+  m_current.reset();
+  return GateVerdict::kClose;
+}
+
+GateVerdict TargetGate::Open(const TargetHeartbeat& heartbeat) {
+  if (m_current && m_current->instance != heartbeat.instance)
+    RecordOf(m_current->instance).is_closed = true;
+  m_current = heartbeat;
+  m_candidate.reset();
+  return GateVerdict::kOpen;
+}
+
+}  // namespace bulrushmount
--- /dev/null
+++ b/source/core/target_state/target_heartbeat.h
@@ -0,0 +1,31 @@
+// What a target that is known by an id says of itself, again and again.
+
+#ifndef BULRUSHMOUNT_CORE_TARGET_STATE_TARGET_HEARTBEAT_H_
+#define BULRUSHMOUNT_CORE_TARGET_STATE_TARGET_HEARTBEAT_H_
+
+#include <cstdint>
+
+#include "core/common/endpoint.h"
+#include "core/common/ids.h"
+#include "core/common/time.h"
+
+namespace bulrushmount {
+
+enum class TargetReadiness : std::uint8_t { kReady, kDraining };
+
+// May come late, out of order, and after a newer target has taken the place.
+struct TargetHeartbeat {
+  InstanceId instance;
+  ServiceName service;
+  Endpoint endpoint;
+  std::uint32_t slots = 0;
+  TargetReadiness readiness = TargetReadiness::kReady;
+  // What is left of the target's cold start.
+  Duration cold_time_left{};
+  // Rises with each heartbeat of one target.
+  std::uint64_t sequence = 0;
+};
+
+}  // namespace bulrushmount
+
+#endif  // BULRUSHMOUNT_CORE_TARGET_STATE_TARGET_HEARTBEAT_H_
--- a/source/core/target_state/target_life.cc
+++ b/source/core/target_state/target_life.cc
@@ -12,6 +12,13 @@
 using detail::TargetLifeEvent;
 using detail::TargetLifeMachine;
 
+namespace {
+
+// A cold start must last some time; this one is over before any answer.
+constexpr Duration kShortestColdStart = std::chrono::milliseconds(1);
+
+}  // namespace
+
 std::string_view ToToken(TargetState state) {
   switch (state) {
     case TargetState::kGone:
@@ -40,6 +47,7 @@
         suspicion(life_settings.shortest_suspicion) {}
 
   void Apply(TargetLifeEvent event, std::string_view cause);
+  ColdStart ColdStartOf(TimePoint now) const;
   void Begin(TimePoint now, const TargetAnnouncement& next);
   void Suspect(TimePoint now, bool by_real, std::string_view cause);
   void TryAgain(TimePoint now);
@@ -77,11 +85,20 @@
       .Add("cause", cause);
 }
 
+// A target that says how long it stays cold is warm after that time, whatever
+// work it gets.
+ColdStart TargetLife::Impl::ColdStartOf(TimePoint now) const {
+  if (!announcement || !announcement->cold_time_left)
+    return ColdStart(now, settings.warmup, settings.warm_answers);
+  return ColdStart(
+      now, std::max(*announcement->cold_time_left, kShortestColdStart), 0);
+}
+
 void TargetLife::Impl::Begin(TimePoint now, const TargetAnnouncement& next) {
   announcement = next;
   announcements_missed = 0;
   evidence = TargetEvidence(settings.thresholds);
-  cold_start = ColdStart(now, settings.warmup, settings.warm_answers);
+  cold_start = ColdStartOf(now);
   suspicion = settings.shortest_suspicion;
   Apply(TargetLifeEvent::kAnnounced, "announced");
 }
@@ -112,7 +129,7 @@
   evidence.Clear();
   if (is_suspected_by_real) {
     evidence.BeginTrial();
-    cold_start = ColdStart(now, settings.warmup, settings.warm_answers);
+    cold_start = ColdStartOf(now);
   }
   Apply(TargetLifeEvent::kAnswers, "tried_again");
 }
--- a/source/core/target_state/target_life.h
+++ b/source/core/target_state/target_life.h
@@ -55,6 +55,8 @@
   // Positive.
   std::uint32_t slots = 0;
   Incarnation incarnation;
+  // What is left of its cold start; empty: the settings' time.
+  std::optional<Duration> cold_time_left{};
 };
 
 class TargetLife {
--- a/source/core/transport/caller_connection.cc
+++ b/source/core/transport/caller_connection.cc
@@ -32,9 +32,7 @@
 constexpr std::size_t kMaxRequestId = 128;
 
 // What is read beyond a head belongs to its body or to the next request.
-std::size_t BufferLimit(const CallerLimits& limits) {
-  return 2 * limits.max_head + kReadSize;
-}
+constexpr std::size_t kBufferLimit = 2 * kLargestHead + kReadSize;
 
 // The length of a head with its blank line, or 0 if the end is not yet here. A
 // bare line feed ends it too: it is a fault, but one to be told at once.
@@ -59,14 +57,16 @@
 CallerConnection::CallerConnection(tcp::socket socket,
                                    CallAcceptor& acceptor,
                                    RandomSource& random,
-                                   const CallerLimits& limits)
+                                   std::shared_ptr<const CallerLimits> limits,
+                                   const CallerDialect& dialect)
     : m_socket(std::make_shared<tcp::socket>(std::move(socket))),
       m_buffer(
-          std::make_shared<boost::beast::flat_buffer>(BufferLimit(limits))),
+          std::make_shared<boost::beast::flat_buffer>(kBufferLimit)),
       m_writer(std::make_shared<Http1Writer>(m_socket)),
       m_acceptor(acceptor),
       m_random(random),
-      m_limits(limits),
+      m_limits(std::move(limits)),
+      m_dialect(dialect),
       m_timer(m_socket->get_executor()) {}
 
 void CallerConnection::Start() {
@@ -98,7 +98,7 @@
     return;
   }
   m_is_head_begun = m_buffer->size() > 0;
-  Limit(m_is_head_begun ? m_limits.head_time : m_limits.idle_time);
+  Limit(m_is_head_begun ? m_limits->head_time : m_limits->idle_time);
   m_socket->async_read_some(
       m_buffer->prepare(kHeadRead),
       [self = shared_from_this()](const boost::system::error_code& error,
@@ -122,7 +122,7 @@
   }
   // Once only: each empty line would else begin the time anew.
   if (!std::exchange(m_is_head_begun, true)) {
-    Limit(m_limits.head_time);
+    Limit(m_limits->head_time);
   }
   m_searched = m_buffer->size();
   m_socket->async_read_some(
@@ -147,7 +147,7 @@
     BeginExchange(text.substr(0, length));
     return true;
   }
-  if (text.size() > m_limits.max_head) {
+  if (text.size() > m_limits->max_head) {
     Refuse(Reason::kHeadTooLarge);
     return true;
   }
@@ -156,14 +156,14 @@
 
 void CallerConnection::BeginExchange(std::string_view text) {
   Unlimit();
-  const Reason fault = CheckRequestHead(text, m_limits.max_head);
+  const Reason fault = CheckRequestHead(text, m_limits->max_head);
   if (fault != Reason::kNone) {
     Refuse(fault);
     return;
   }
   m_reader = std::make_shared<Http1Reader<true>>(m_socket, m_buffer);
   auto& parser = m_reader->parser();
-  parser.header_limit(static_cast<std::uint32_t>(BufferLimit(m_limits)));
+  parser.header_limit(static_cast<std::uint32_t>(kBufferLimit));
   boost::system::error_code error;
   parser.put(asio::buffer(text.data(), text.size()), error);
   m_buffer->consume(text.size());
@@ -176,7 +176,7 @@
   CallHead& head = m_exchange->m_head;
   head.method = std::string(message.method_string());
   head.target = std::string(message.target());
-  const Reason reason = ReadCallHead(message, head);
+  const Reason reason = m_dialect.ReadCallHead(message, head);
   if (!IsSoundRequestId(head.request_id.value())) {
     head.request_id = RequestId(fmt::format("{:016x}", m_random.NextBits()));
   }
@@ -184,12 +184,16 @@
     Refuse(Reason::kMalformedRequest);
     return;
   }
-  m_exchange->m_headers = EndToEndFields(message);
+  m_exchange->m_headers = m_dialect.ForwardedFields(message);
   if (parser.chunked()) {
     m_exchange->m_shape.framing = BodyFraming::kChunked;
   } else if (const auto length = parser.content_length()) {
     m_exchange->m_shape = {BodyFraming::kLength, *length};
   }
+  if (m_exchange->m_shape.length > m_limits->max_body) {
+    Refuse(Reason::kBodyTooLarge);
+    return;
+  }
   m_is_last = m_is_last || !parser.keep_alive();
   SendContinue();
   Limit(kPrefixTime);
@@ -222,7 +226,7 @@
   m_exchange->m_is_complete = m_reader->is_done();
   if (m_exchange->m_is_complete ||
       m_exchange->m_prefix.size() >=
-          std::max(m_limits.max_buffered_body, kBufferedBody)) {
+          std::max(m_limits->max_buffered_body, kBufferedBody)) {
     HandIn();
     return;
   }
@@ -305,7 +309,8 @@
       .Add("request_id", request_id);
   m_exchange = nullptr;
   const std::string body = MakeOutcomeBody(Outcome::kNotRun, reason);
-  AnswerHead head = MakeOutcomeHead(Outcome::kNotRun, reason, request_id);
+  AnswerHead head = m_dialect.MakeOwnAnswer(
+      OwnAnswer{Outcome::kNotRun, reason, std::nullopt, request_id});
   head.shape = {BodyFraming::kLength, body.size()};
   head.headers.push_back({"Connection", "close"});
   m_writer->Begin(ToText(head), head.shape);
--- a/source/core/transport/caller_connection.h
+++ b/source/core/transport/caller_connection.h
@@ -24,7 +24,8 @@
   CallerConnection(boost::asio::ip::tcp::socket socket,
                    CallAcceptor& acceptor,
                    RandomSource& random,
-                   const CallerLimits& limits);
+                   std::shared_ptr<const CallerLimits> limits,
+                   const CallerDialect& dialect);
 
   void Start();
 
@@ -75,7 +76,8 @@
   std::shared_ptr<Http1Writer> m_writer;
   CallAcceptor& m_acceptor;
   RandomSource& m_random;
-  CallerLimits m_limits;
+  std::shared_ptr<const CallerLimits> m_limits;
+  const CallerDialect& m_dialect;
   boost::asio::steady_timer m_timer;
 
   // Where the search for the end of the head goes on.
--- /dev/null
+++ b/source/core/transport/caller_dialect.cc
@@ -0,0 +1,66 @@
+// Part of `caller_dialect.h`.
+
+#include "core/transport/caller_dialect.h"
+
+#include <chrono>
+
+#include <fmt/format.h>
+
+namespace bulrushmount {
+
+namespace http = boost::beast::http;
+
+Reason OwnCallerDialect::ReadCallHead(const http::fields& fields,
+                                      CallHead& head) const {
+  return bulrushmount::ReadCallHead(fields, head);
+}
+
+HeaderList OwnCallerDialect::ForwardedFields(const http::fields& fields) const {
+  return EndToEndFields(fields);
+}
+
+AnswerHead OwnCallerDialect::MakeOwnAnswer(const OwnAnswer& answer) const {
+  const ReasonTraits& traits = TraitsOf(answer.reason);
+  AnswerHead head;
+  head.status = traits.status;
+  head.headers = {{"Content-Type", "text/plain"},
+                  {"Bulrushmount-Outcome", std::string(ToToken(answer.outcome))},
+                  {"Bulrushmount-Reason", std::string(traits.token)}};
+  const std::optional<Duration> retry_after =
+      answer.retry_after ? answer.retry_after : traits.retry_after;
+  if (retry_after) {
+    // Whole seconds, as HTTP has it; never sooner than advised.
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(*retry_after);
+    head.headers.push_back({"Retry-After", std::to_string(seconds.count())});
+  }
+  if (!answer.request_id.value().empty()) {
+    head.headers.push_back(
+        {"Bulrushmount-Request-Id", answer.request_id.value()});
+  }
+  return head;
+}
+
+void OwnCallerDialect::AddAnswerFields(const RequestId& request_id,
+                                       AnswerHead& head) const {
+  head.headers.push_back(
+      {"Bulrushmount-Outcome", std::string(ToToken(Outcome::kAnswered))});
+  head.headers.push_back({"Bulrushmount-Request-Id", request_id.value()});
+}
+
+const CallerDialect& DefaultCallerDialect() {
+  static const OwnCallerDialect dialect;
+  return dialect;
+}
+
+AnswerHead MakeOutcomeHead(Outcome outcome,
+                           Reason reason,
+                           const RequestId& request_id) {
+  return DefaultCallerDialect().MakeOwnAnswer(
+      OwnAnswer{outcome, reason, std::nullopt, request_id});
+}
+
+std::string MakeOutcomeBody(Outcome outcome, Reason reason) {
+  return fmt::format("{}: {}\n", ToToken(outcome), TraitsOf(reason).token);
+}
+
+}  // namespace bulrushmount
--- a/source/core/transport/caller_server.cc
+++ b/source/core/transport/caller_server.cc
@@ -23,37 +23,16 @@
 
 }  // namespace
 
-AnswerHead MakeOutcomeHead(Outcome outcome,
-                           Reason reason,
-                           const RequestId& request_id) {
-  const ReasonTraits& traits = TraitsOf(reason);
-  AnswerHead head;
-  head.status = traits.status;
-  head.headers = {{"Content-Type", "text/plain"},
-                  {"Bulrushmount-Outcome", std::string(ToToken(outcome))},
-                  {"Bulrushmount-Reason", std::string(traits.token)}};
-  if (traits.retry_after) {
-    head.headers.push_back(
-        {"Retry-After", std::to_string(traits.retry_after->count())});
-  }
-  if (!request_id.value().empty()) {
-    head.headers.push_back({"Bulrushmount-Request-Id", request_id.value()});
-  }
-  return head;
-}
-
-std::string MakeOutcomeBody(Outcome outcome, Reason reason) {
-  return fmt::format("{}: {}\n", ToToken(outcome), TraitsOf(reason).token);
-}
-
 CallerServer::CallerServer(asio::io_context& context,
                            CallAcceptor& acceptor,
                            RandomSource& random,
-                           const CallerLimits& limits)
+                           const CallerLimits& limits,
+                           const CallerDialect& dialect)
     : m_context(context),
       m_acceptor(acceptor),
       m_random(random),
-      m_limits(limits),
+      m_dialect(dialect),
+      m_limits(std::make_shared<CallerLimits>(limits)),
       m_listener(context) {}
 
 CallerServer::~CallerServer() {
@@ -83,14 +62,17 @@
     std::erase_if(m_connections,
                   [](const auto& weak) { return weak.expired(); });
     const std::size_t open = m_connections.size();
-    if (open >= m_limits.max_connections + kRefusalsAtOnce) {
+    if (open >= m_limits->max_connections + kRefusalsAtOnce) {
       ResetSocket(socket);
       return;
     }
     auto connection = std::make_shared<detail::CallerConnection>(
-        std::move(socket), m_acceptor, m_random, m_limits);
+        std::move(socket), m_acceptor, m_random, m_limits, m_dialect);
+    if (m_is_ending) {
+      connection->Drain();
+    }
     m_connections.push_back(connection);
-    if (open >= m_limits.max_connections) {
+    if (open >= m_limits->max_connections) {
       connection->StartRefused();
     } else {
       connection->Start();
@@ -98,9 +80,22 @@
   });
 }
 
+void CallerServer::SetBounds(const CallerBounds& bounds) {
+  m_limits->max_head =
+      std::min<std::size_t>(bounds.max_head_bytes, kLargestHead);
+  m_limits->max_body = bounds.max_body_bytes;
+  m_limits->head_time = bounds.head_time;
+  m_limits->idle_time = bounds.idle_time;
+}
+
 void CallerServer::Drain() {
   boost::system::error_code ignored;
   m_listener.close(ignored);
+  EndAfterAnswers();
+}
+
+void CallerServer::EndAfterAnswers() {
+  m_is_ending = true;
   for (const auto& weak : m_connections) {
     if (const auto connection = weak.lock()) {
       connection->Drain();
--- a/source/core/transport/caller_server.h
+++ b/source/core/transport/caller_server.h
@@ -6,6 +6,8 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <cstdint>
+#include <limits>
 #include <memory>
 #include <string>
 #include <vector>
@@ -19,7 +21,9 @@
 #include "core/common/random.h"
 #include "core/common/time.h"
 #include "core/node_logic/call_types.h"
+#include "core/routes/route_config.h"
 #include "core/transport/body_stream.h"
+#include "core/transport/caller_dialect.h"
 #include "core/transport/http1_head.h"
 
 namespace bulrushmount {
@@ -38,6 +42,8 @@
   std::size_t max_buffered_body = kBufferedBody;
   // Further connections are told so and closed.
   std::size_t max_connections = 4096;
+  // A longer body is refused.
+  std::uint64_t max_body = std::numeric_limits<std::uint64_t>::max();
   // Between two requests, and for a head from its first byte to its last. A
   // caller that sends its bytes one by one would else hold a connection and
   // its buffers for ever.
@@ -70,13 +76,6 @@
   virtual void Break() = 0;
 };
 
-// A refusal or an unknown outcome, with its head fields; `body` is one line
-// for a person to read.
-AnswerHead MakeOutcomeHead(Outcome outcome,
-                           Reason reason,
-                           const RequestId& request_id);
-std::string MakeOutcomeBody(Outcome outcome, Reason reason);
-
 class CallAcceptor {
  public:
   virtual ~CallAcceptor() = default;
@@ -91,11 +90,12 @@
 
 class CallerServer {
  public:
-  // Both must outlive the server. `random` draws request ids.
+  // All must outlive the server. `random` draws request ids.
   CallerServer(boost::asio::io_context& context,
                CallAcceptor& acceptor,
                RandomSource& random,
-               const CallerLimits& limits = CallerLimits());
+               const CallerLimits& limits = CallerLimits(),
+               const CallerDialect& dialect = DefaultCallerDialect());
   ~CallerServer();
 
   CallerServer(const CallerServer&) = delete;
@@ -105,11 +105,15 @@
   bool Listen(const Endpoint& endpoint);
   Endpoint endpoint() const;
 
+  // For heads that are read from now on.
+  void SetBounds(const CallerBounds& bounds);
+
   // Connections that are open, with those that are being refused.
   std::size_t connection_count() const;
 
-  // Takes no new connections; those that are idle close, the others after
-  // their answer.
+  // Each connection, old or new, ends after its next answer.
+  void EndAfterAnswers();
+  // The same, and no new ones are taken.
   void Drain();
 
   // Whether no exchange is in progress and all bytes are with the sockets.
@@ -123,7 +127,10 @@
   boost::asio::io_context& m_context;
   CallAcceptor& m_acceptor;
   RandomSource& m_random;
-  CallerLimits m_limits;
+  const CallerDialect& m_dialect;
+  // Shared with the connections.
+  std::shared_ptr<CallerLimits> m_limits;
+  bool m_is_ending = false;
   boost::asio::ip::tcp::acceptor m_listener;
   std::vector<std::weak_ptr<detail::CallerConnection>> m_connections;
 };
--- a/source/core/transport/entry_calls.cc
+++ b/source/core/transport/entry_calls.cc
@@ -101,12 +101,14 @@
                        NodeId self,
                        NodeStreamClient& client,
                        WorkAcceptor& own_works,
-                       EventSink& events)
+                       EventSink& events,
+                       const CallerDialect& dialect)
     : m_executor(std::move(executor)),
       m_self(self),
       m_client(client),
       m_own_works(own_works),
-      m_events(events) {}
+      m_events(events),
+      m_dialect(dialect) {}
 
 EntryCalls::~EntryCalls() {
   while (!m_calls.empty()) {
@@ -215,10 +217,7 @@
         std::make_shared<CopyingSource>(std::move(body), action.keep_bytes);
     body = call->copy;
   }
-  head.headers.push_back(
-      {"Bulrushmount-Outcome", std::string(ToToken(Outcome::kAnswered))});
-  head.headers.push_back(
-      {"Bulrushmount-Request-Id", call->exchange->head().request_id.value()});
+  m_dialect.AddAnswerFields(call->exchange->head().request_id, head);
   std::shared_ptr<BodySink> sink = call->exchange->BeginAnswer(std::move(head));
   if (!sink) {
     return;
@@ -271,8 +270,9 @@
   }
   const auto exchange = call->exchange;
   Drop(action.call);
-  exchange->Answer(MakeOutcomeHead(action.outcome, action.reason,
-                                   exchange->head().request_id),
+  exchange->Answer(m_dialect.MakeOwnAnswer(OwnAnswer{
+                       action.outcome, action.reason, action.retry_after,
+                       exchange->head().request_id}),
                    MakeOutcomeBody(action.outcome, action.reason));
 }
 
@@ -288,10 +288,7 @@
   if (!action.content_type.empty()) {
     head.headers.push_back({"Content-Type", action.content_type});
   }
-  head.headers.push_back(
-      {"Bulrushmount-Outcome", std::string(ToToken(Outcome::kAnswered))});
-  head.headers.push_back(
-      {"Bulrushmount-Request-Id", exchange->head().request_id.value()});
+  m_dialect.AddAnswerFields(exchange->head().request_id, head);
   exchange->Answer(std::move(head), action.body);
 }
 
--- a/source/core/transport/entry_calls.h
+++ b/source/core/transport/entry_calls.h
@@ -26,7 +26,8 @@
              NodeId self,
              NodeStreamClient& client,
              WorkAcceptor& own_works,
-             EventSink& events);
+             EventSink& events,
+             const CallerDialect& dialect = DefaultCallerDialect());
   ~EntryCalls() override;
 
   EntryCalls(const EntryCalls&) = delete;
@@ -64,6 +65,7 @@
   NodeStreamClient& m_client;
   WorkAcceptor& m_own_works;
   EventSink& m_events;
+  const CallerDialect& m_dialect;
   std::uint64_t m_last_id = 0;
   std::unordered_map<CallId, std::unique_ptr<Call>> m_calls;
   std::unordered_map<const CallerExchange*, CallId> m_ids;
--- a/source/core/transport/http1_head.cc
+++ b/source/core/transport/http1_head.cc
@@ -213,7 +213,8 @@
 }
 
 Reason ReadCallHead(const http::fields& fields, CallHead& head) {
-  head.service = ServiceName(std::string(ServiceOf(fields["Host"])));
+  head.host = std::string(fields["Host"]);
+  head.service = ServiceName(std::string(ServiceOf(head.host)));
   head.customer = CustomerName(std::string(fields["Bulrushmount-Customer"]));
   head.request_id = RequestId(std::string(fields["Bulrushmount-Request-Id"]));
   if (fields.count("Idempotency-Key") > 1 ||
--- a/source/core/transport/http1_head.h
+++ b/source/core/transport/http1_head.h
@@ -22,6 +22,9 @@
 // refused with 431.
 inline constexpr std::size_t kMaxHead = 16384;
 
+// The settings may not allow a longer one: a node stream carries no more.
+inline constexpr std::size_t kLargestHead = 65536;
+
 struct HeaderField {
   std::string name;
   std::string value;
--- /dev/null
+++ b/source/core/transport/metrics_server.h
@@ -0,0 +1,31 @@
+// The metrics address: GET /metrics for anybody who reaches it, and nothing
+// else.
+
+#ifndef BULRUSHMOUNT_CORE_TRANSPORT_METRICS_SERVER_H_
+#define BULRUSHMOUNT_CORE_TRANSPORT_METRICS_SERVER_H_
+
+#include <boost/asio/io_context.hpp>
+
+#include "core/node_logic/node_logic.h"
+#include "core/transport/control_server.h"
+
+namespace bulrushmount {
+
+class MetricsServer : public ControlHandler {
+ public:
+  // Both must outlive the server.
+  MetricsServer(boost::asio::io_context& context, const NodeLogic& logic)
+      : m_logic(logic), m_server(context, *this) {}
+
+  bool Listen(const Endpoint& endpoint) { return m_server.Listen(endpoint); }
+
+  void OnRequest(const ControlRequest& request, Respond respond) override;
+
+ private:
+  const NodeLogic& m_logic;
+  ControlServer m_server;
+};
+
+}  // namespace bulrushmount
+
+#endif  // BULRUSHMOUNT_CORE_TRANSPORT_METRICS_SERVER_H_
--- a/source/core/transport/node_daemon.cc
+++ b/source/core/transport/node_daemon.cc
@@ -6,6 +6,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <iterator>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -17,9 +18,11 @@
 #include "core/common/logging.h"
 #include "core/common/random.h"
 #include "core/node_logic/node_logic.h"
-#include "core/platform/http_table_service.h"
 #include "core/transport/daemon_pages.h"
+#include "core/transport/log_flusher.h"
+#include "core/transport/metrics_server.h"
 #include "core/transport/node_driver.h"
+#include "core/transport/settings_reloader.h"
 
 namespace bulrushmount {
 
@@ -62,6 +65,7 @@
   driver.operators = settings.addresses.operators;
   driver.operator_token = std::move(token);
   driver.min_progress_time = node.min_progress_time;
+  driver.leave_time = node.leave_time;
   const TransportSettings& transport = settings.transport;
   driver.callers.max_head = transport.max_head_bytes;
   driver.callers.max_buffered_body = transport.max_buffered_body_bytes;
@@ -69,13 +73,6 @@
   return driver;
 }
 
-HttpClientSettings MakeTableSettings(const DaemonSettings& settings) {
-  HttpClientSettings table;
-  table.server = settings.platform.table;
-  table.timeout = settings.platform.timeout;
-  return table;
-}
-
 void WaitForSignal(boost::asio::signal_set& signals, NodeDriver& driver) {
   signals.async_wait(
       [&signals, &driver](const boost::system::error_code& error, int) {
@@ -88,9 +85,13 @@
 
 }  // namespace
 
-int RunNodeDaemon(const DaemonSettings& settings) {
+int RunNodeDaemon(const DaemonSettings& given,
+                  const std::string& file,
+                  DaemonProtocols& protocols) {
   // A peer that closes its connection must not end the process.
   std::signal(SIGPIPE, SIG_IGN);
+  DaemonSettings settings = given;
+  protocols.Prepare(settings);
   SetLogLevel(settings.log_level);
   std::optional<std::string> token = ReadToken(settings);
   if (!token)
@@ -99,12 +100,21 @@
   SeededRandomSource random(SystemSeed());
   const NodeSettings node = MakeNodeSettings(settings, random);
   boost::asio::io_context context(1);
-  HttpTableService table(context, MakeTableSettings(settings));
-  NodeLogic logic(node, random, Now());
-  NodeDriver driver(context,
-                    MakeDriverSettings(settings, node, std::move(*token)),
-                    logic, table, random);
-  const DaemonPages pages(context, driver, logic);
+  LogFlusher log_flusher(context);
+  const std::unique_ptr<TableService> table = protocols.MakeTable(context);
+  const RouteDocumentDecoder* const decoder = protocols.route_decoder();
+  const auto logic =
+      decoder ? std::make_unique<NodeLogic>(node, *decoder, random, Now())
+              : std::make_unique<NodeLogic>(node, random, Now());
+  DriverSettings driver_settings =
+      MakeDriverSettings(settings, node, std::move(*token));
+  driver_settings.caller_dialect = &protocols.callers();
+  driver_settings.target_dialect = &protocols.targets();
+  driver_settings.has_target_server = protocols.has_own_target_server();
+  NodeDriver driver(context, driver_settings, *logic, *table, random);
+  const DaemonPages pages(context, driver, *logic);
+  MetricsServer metrics(context, *logic);
+  SettingsReloader reloader(context, file);
 
   int code = EXIT_FAILURE;
   driver.SetOnExit([&context, &code](bool is_clean) {
@@ -113,9 +123,13 @@
   });
   boost::asio::signal_set signals(context, SIGTERM, SIGINT);
   WaitForSignal(signals, driver);
-  if (!driver.Start())
-    return EXIT_FAILURE;
-  context.run();
+  const bool is_open =
+      driver.Start() && protocols.Serve(context, driver) &&
+      (!settings.addresses.metrics ||
+       metrics.Listen(*settings.addresses.metrics));
+  if (is_open)
+    context.run();
+  FlushLog();
   return code;
 }
 
--- a/source/core/transport/node_driver.cc
+++ b/source/core/transport/node_driver.cc
@@ -31,19 +31,32 @@
       m_brain(brain),
       m_table(table),
       m_client(context.get_executor()),
-      m_target(context.get_executor()),
-      m_works(m_target, *this),
+      m_target(context.get_executor(), *settings.target_dialect),
+      m_works(m_target, *this, *settings.target_dialect),
       m_controls(m_works),
-      m_calls(context.get_executor(), settings.id, m_client, m_works, *this),
+      m_calls(context.get_executor(),
+              settings.id,
+              m_client,
+              m_works,
+              *this,
+              *settings.caller_dialect),
       m_streams(context, m_controls),
-      m_callers(context, m_calls, random, settings.callers),
+      m_callers(context,
+                m_calls,
+                random,
+                settings.callers,
+                *settings.caller_dialect),
       m_gossip(context, *this),
       m_operators(context, settings.operator_token, *this),
       m_targets(context, *this),
-      m_prober(context.get_executor(), settings.health_path, *this),
+      m_prober(context.get_executor(),
+               settings.health_path,
+               *this,
+               *settings.target_dialect),
       m_wakeup_timer(context),
       m_stall_timer(context),
-      m_exit_timer(context) {
+      m_exit_timer(context),
+      m_leave_timer(context) {
   AddPages();
 }
 
@@ -52,7 +65,8 @@
 bool NodeDriver::Start() {
   const bool is_open = m_streams.Listen(m_settings.stream) &&
                        m_gossip.Open(m_settings.gossip) &&
-                       m_targets.Listen(m_settings.target) &&
+                       (!m_settings.has_target_server ||
+                        m_targets.Listen(m_settings.target)) &&
                        m_operators.Listen(m_settings.operators) &&
                        m_callers.Listen(m_settings.caller);
   if (!is_open) {
@@ -71,7 +85,7 @@
 void NodeDriver::AddPages() {
   m_operators.AddPage("/ready", OperatorServer::Access::kOpen, [this] {
     ControlReply reply;
-    const bool is_ready = m_brain.IsReady() && !m_is_shutting_down;
+    const bool is_ready = IsReady();
     reply.status = is_ready ? 200 : 503;
     reply.body = is_ready ? "ready\n" : "not ready\n";
     return reply;
@@ -130,6 +144,14 @@
   }
 }
 
+void NodeDriver::Do(const UseTarget& action) {
+  m_target.SetEndpoint(action.endpoint);
+}
+
+void NodeDriver::Do(const SetCallerBounds& action) {
+  m_callers.SetBounds(action.bounds);
+}
+
 void NodeDriver::Do(const SendProbe& action) {
   m_prober.Send(action);
 }
@@ -197,9 +219,20 @@
   LogLine(LogLevel::kInfo, "node.shutting_down")
       .Add("calls", m_calls.size())
       .Add("works", m_works.size());
+  m_callers.EndAfterAnswers();
+  m_leave_timer.expires_after(m_settings.leave_time);
+  m_leave_timer.async_wait([this](const boost::system::error_code& error) {
+    if (!error && !m_has_ended)
+      StopAccepting();
+  });
+  if (m_settings.leave_time <= Duration::zero())
+    StopAccepting();
+  Emit(ShutdownRequested{});
+}
+
+void NodeDriver::StopAccepting() {
   m_callers.Drain();
   m_streams.Drain();
-  Emit(ShutdownRequested{});
 }
 
 void NodeDriver::ExitWhenFlushed() {
@@ -225,6 +258,7 @@
   m_wakeup_timer.cancel();
   m_stall_timer.cancel();
   m_exit_timer.cancel();
+  m_leave_timer.cancel();
   m_callers.Close();
   m_streams.Close();
   m_client.Close();
--- a/source/core/transport/node_driver.h
+++ b/source/core/transport/node_driver.h
@@ -16,7 +16,7 @@
 #include "core/common/ids.h"
 #include "core/common/random.h"
 #include "core/node_logic/node_brain.h"
-#include "core/platform/table_service.h"
+#include "core/store/table_service.h"
 #include "core/transport/caller_server.h"
 #include "core/transport/control_works.h"
 #include "core/transport/datagram_socket.h"
@@ -32,7 +32,6 @@
 
 namespace bulrushmount {
 
-// To be filled in from the settings file once there is one.
 struct DriverSettings {
   NodeId id;
   // Where this node listens. Port 0 takes a free one.
@@ -47,6 +46,13 @@
   Duration min_progress_time = std::chrono::seconds(30);
   std::string health_path = "/health";
   CallerLimits callers;
+  // Where `target` is served by someone else, who speaks another protocol.
+  bool has_target_server = true;
+  // After a shutdown was asked for, new connections are taken this long.
+  Duration leave_time{};
+  // Both must outlive the driver.
+  const CallerDialect* caller_dialect = &DefaultCallerDialect();
+  const TargetDialect* target_dialect = &DefaultTargetDialect();
 };
 
 class NodeDriver : public EventSink {
@@ -80,6 +86,8 @@
   ControlWorks& controls() { return m_controls; }
   NodeStreamClient& client() { return m_client; }
 
+  bool IsReady() const { return m_brain.IsReady() && !m_is_shutting_down; }
+
   Endpoint caller_endpoint() const { return m_callers.endpoint(); }
   Endpoint stream_endpoint() const { return m_streams.endpoint(); }
   Endpoint gossip_endpoint() const { return m_gossip.endpoint(); }
@@ -94,6 +102,8 @@
   template <typename Action>
   void CarryOut(const Action& action);
 
+  void Do(const UseTarget& action);
+  void Do(const SetCallerBounds& action);
   void Do(const SendProbe& action);
   void Do(const SendDatagram& action);
   void Do(const SubmitTableRequest& action);
@@ -105,6 +115,7 @@
   void WatchStalls();
   // Waits until the last bytes are with the sockets.
   void ExitWhenFlushed();
+  void StopAccepting();
   void Exit(bool is_clean);
 
   boost::asio::io_context& m_context;
@@ -132,6 +143,7 @@
   TimePoint m_armed = TimePoint::max();
   boost::asio::steady_timer m_stall_timer;
   boost::asio::steady_timer m_exit_timer;
+  boost::asio::steady_timer m_leave_timer;
   bool m_is_shutting_down = false;
   bool m_has_ended = false;
   std::function<void(bool is_clean)> m_on_exit;
--- a/source/core/transport/owner_works.cc
+++ b/source/core/transport/owner_works.cc
@@ -34,16 +34,6 @@
   std::function<void()> m_on_end;
 };
 
-RequestHead TargetHead(const WorkRequest& request) {
-  RequestHead head{request.work.method, request.work.target, request.headers,
-                   request.shape};
-  head.headers.push_back(
-      {"Bulrushmount-Customer", request.work.customer.value()});
-  head.headers.push_back(
-      {"Bulrushmount-Request-Id", request.work.request_id.value()});
-  return head;
-}
-
 }  // namespace
 
 class OwnerWorks::Work : public WorkListener,
@@ -62,9 +52,14 @@
   WorkStream& stream() { return *m_stream; }
   bool is_answer_begun() const { return m_pump != nullptr; }
 
-  void HandOver(Duration time_left) {
+  void HandOver(const HandToTarget& action) {
+    const WorkRequest& request = m_stream->request();
+    RequestHead head{request.work.method, request.work.target, request.headers,
+                     request.shape};
+    m_owner.m_dialect.AddRequestFields(request.work, action.instance,
+                                       action.time_left, head);
     m_exchange =
-        m_owner.m_target.Send(TargetHead(m_stream->request()), time_left,
+        m_owner.m_target.Send(std::move(head), request.work.request_id,
                               m_stream->request_body(), this);
   }
 
@@ -121,13 +116,15 @@
   }
 
   void OnAnswer(AnswerHead head,
-                bool is_shed,
+                const TargetVerdict& verdict,
                 std::shared_ptr<BodySource> body) override {
     const auto self = shared_from_this();
     const int status = head.status;
     m_answer = std::move(head);
     m_answer_body = std::move(body);
-    m_owner.m_events.Emit(TargetAnswerBegun{m_id, status, is_shed});
+    m_owner.m_events.Emit(TargetAnswerBegun{m_id, status, verdict.is_shed,
+                                            verdict.is_wrong_target,
+                                            verdict.figures});
   }
 
   void OnFailed() override {
@@ -168,8 +165,10 @@
   bool m_is_target_ended = false;
 };
 
-OwnerWorks::OwnerWorks(TargetClient& target, EventSink& events)
-    : m_target(target), m_events(events) {}
+OwnerWorks::OwnerWorks(TargetClient& target,
+                       EventSink& events,
+                       const TargetDialect& dialect)
+    : m_target(target), m_events(events), m_dialect(dialect) {}
 
 OwnerWorks::~OwnerWorks() = default;
 
@@ -197,7 +196,7 @@
 
 void OwnerWorks::Do(const HandToTarget& action) {
   if (const auto work = Find(action.work)) {
-    work->HandOver(action.time_left);
+    work->HandOver(action);
   }
 }
 
--- a/source/core/transport/owner_works.h
+++ b/source/core/transport/owner_works.h
@@ -19,8 +19,10 @@
 
 class OwnerWorks : public WorkAcceptor {
  public:
-  // Both must outlive the object.
-  OwnerWorks(TargetClient& target, EventSink& events);
+  // All must outlive the object.
+  OwnerWorks(TargetClient& target,
+             EventSink& events,
+             const TargetDialect& dialect = DefaultTargetDialect());
   ~OwnerWorks() override;
 
   OwnerWorks(const OwnerWorks&) = delete;
@@ -45,6 +47,7 @@
 
   TargetClient& m_target;
   EventSink& m_events;
+  const TargetDialect& m_dialect;
   std::uint64_t m_last_id = 0;
   std::unordered_map<WorkId, std::shared_ptr<Work>> m_works;
 };
--- a/source/core/transport/prober.cc
+++ b/source/core/transport/prober.cc
@@ -29,8 +29,15 @@
 
 class Probe : public std::enable_shared_from_this<Probe> {
  public:
-  Probe(const asio::any_io_executor& executor, ProbeId id, EventSink& events)
-      : m_stream(executor), m_id(id), m_events(events), m_buffer(kMaxReply) {}
+  Probe(const asio::any_io_executor& executor,
+        ProbeId id,
+        EventSink& events,
+        const TargetDialect& dialect)
+      : m_stream(executor),
+        m_id(id),
+        m_events(events),
+        m_dialect(dialect),
+        m_buffer(kMaxReply) {}
 
   void Run(const SendProbe& probe, const std::string& path) {
     const Endpoint& endpoint = probe.endpoint;
@@ -74,13 +81,16 @@
       m_events.Emit(ProbeFailed{m_id});
       return;
     }
-    const bool is_healthy = m_reply.result() == http::status::ok;
-    m_events.Emit(ProbeAnswered{m_id, is_healthy, Now() - m_started});
+    const HealthVerdict verdict = m_dialect.ReadHealth(
+        static_cast<int>(m_reply.result_int()), m_reply);
+    m_events.Emit(ProbeAnswered{m_id, verdict.is_healthy, Now() - m_started,
+                                verdict.instance, verdict.figures});
   }
 
   beast::tcp_stream m_stream;
   ProbeId m_id;
   EventSink& m_events;
+  const TargetDialect& m_dialect;
   TimePoint m_started;
   TimePoint m_valid_until;
   http::request<http::empty_body> m_request;
@@ -92,10 +102,12 @@
 
 Prober::Prober(asio::any_io_executor executor,
                std::string path,
-               EventSink& events)
+               EventSink& events,
+               const TargetDialect& dialect)
     : m_executor(std::move(executor)),
       m_path(std::move(path)),
-      m_events(events) {}
+      m_events(events),
+      m_dialect(dialect) {}
 
 void Prober::Send(const SendProbe& probe) {
   if (Now() >= probe.valid_until) {
@@ -103,8 +115,9 @@
                [this, id = probe.probe] { m_events.Emit(ProbeFailed{id}); });
     return;
   }
-  std::make_shared<Probe>(m_executor, probe.probe, m_events)
-      ->Run(probe, m_path);
+  const std::string& path = probe.path.empty() ? m_path : probe.path;
+  std::make_shared<Probe>(m_executor, probe.probe, m_events, m_dialect)
+      ->Run(probe, path);
 }
 
 }  // namespace bulrushmount
--- a/source/core/transport/prober.h
+++ b/source/core/transport/prober.h
@@ -10,6 +10,7 @@
 #include "core/common/time.h"
 #include "core/node_logic/actions.h"
 #include "core/transport/event_sink.h"
+#include "core/transport/target_dialect.h"
 
 namespace bulrushmount {
 
@@ -18,7 +19,8 @@
   // `events` must outlive every probe.
   Prober(boost::asio::any_io_executor executor,
          std::string path,
-         EventSink& events);
+         EventSink& events,
+         const TargetDialect& dialect = DefaultTargetDialect());
 
   // Sends at once, and fails the probe if its bytes cannot leave before
   // `valid_until` or no reply comes before `gives_up_at`.
@@ -28,6 +30,7 @@
   boost::asio::any_io_executor m_executor;
   std::string m_path;
   EventSink& m_events;
+  const TargetDialect& m_dialect;
 };
 
 }  // namespace bulrushmount
--- a/source/core/transport/target_client.cc
+++ b/source/core/transport/target_client.cc
@@ -14,6 +14,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include "core/common/logging.h"
 #include "core/transport/http1_reader.h"
 #include "core/transport/http1_writer.h"
 
@@ -28,13 +29,14 @@
 constexpr auto kConnectTimeout = std::chrono::seconds(1);
 constexpr std::size_t kMaxIdle = 64;
 constexpr auto kMaxIdleTime = std::chrono::seconds(20);
+// Of the time that the target announces.
+constexpr int kUsedIdlePercent = 60;
 constexpr std::uint32_t kMaxAnswerHead = 65536;
 constexpr std::size_t kBufferLimit = std::size_t{2} * kMaxAnswerHead;
 
 constexpr unsigned kFirstFinalStatus = 200;
 constexpr unsigned kNoContent = 204;
 constexpr unsigned kNotModified = 304;
-constexpr unsigned kUnavailable = 503;
 
 }  // namespace
 
@@ -73,6 +75,8 @@
   std::shared_ptr<boost::beast::flat_buffer> buffer;
   std::shared_ptr<Http1Writer> writer;
   TimePoint idle_since;
+  // The target closes it after this long without a request.
+  Duration keep_alive = kMaxIdleTime;
 };
 
 }  // namespace detail
@@ -81,9 +85,13 @@
 
 struct TargetClient::Pool {
   std::shared_ptr<TargetConnection> Take() {
-    const TimePoint oldest = Now() - kMaxIdleTime;
-    std::erase_if(idle, [oldest](const auto& connection) {
-      return connection->idle_since < oldest;
+    const TimePoint now = Now();
+    std::erase_if(idle, [now](const auto& connection) {
+      // A request that crosses the target's close would be lost, and nobody
+      // could say whether it ran.
+      return now - connection->idle_since >
+             std::min<Duration>(kMaxIdleTime,
+                                connection->keep_alive * kUsedIdlePercent / 100);
     });
     while (!idle.empty()) {
       std::shared_ptr<TargetConnection> connection = std::move(idle.back());
@@ -119,11 +127,15 @@
  public:
   using Release = std::function<void(std::shared_ptr<TargetConnection>)>;
 
-  Exchange(RequestHead head,
+  Exchange(const TargetDialect& dialect,
+           RequestHead head,
+           RequestId request_id,
            std::shared_ptr<BodySource> body,
            TargetListener* listener,
            Release release)
-      : m_head(std::move(head)),
+      : m_dialect(dialect),
+        m_head(std::move(head)),
+        m_request_id(std::move(request_id)),
         m_body(std::move(body)),
         m_listener(listener),
         m_release(std::move(release)) {}
@@ -169,7 +181,9 @@
   // answer must find no later request on its connection.
   void End(bool is_clean);
 
+  const TargetDialect& m_dialect;
   RequestHead m_head;
+  RequestId m_request_id;
   std::shared_ptr<BodySource> m_body;
   // Null once told, or cancelled.
   TargetListener* m_listener;
@@ -269,9 +283,9 @@
     ReadHead();
     return;
   }
-  // Only a closed connection would end such an answer, and a connection that
-  // broke off looks the same: nobody could tell whether it is whole.
-  if (m_reader->parser().need_eof() && m_head.method != "HEAD") {
+  const bool ends_with_connection =
+      m_reader->parser().need_eof() && m_head.method != "HEAD";
+  if (ends_with_connection && !m_dialect.MayEndWithConnection()) {
     Fail();
     return;
   }
@@ -292,18 +306,32 @@
   }
   if (!is_bodiless && m_reader->parser().chunked()) {
     answer.shape.framing = BodyFraming::kChunked;
+  } else if (!is_bodiless && m_reader->parser().need_eof()) {
+    // Passed on in chunks, so that its end can be told from a break.
+    answer.shape.framing = BodyFraming::kChunked;
   } else if (!is_bodiless) {
     answer.shape.framing = BodyFraming::kLength;
     answer.shape.length = m_reader->parser().content_length().value_or(0);
   }
-  const bool is_shed =
-      answer.status == kUnavailable && message["Bulrushmount-Shed"] == "1";
-  if (is_shed && m_reader->is_done()) {
+  const TargetVerdict verdict =
+      m_dialect.ReadAnswer(m_request_id, answer.status, message);
+  if (!verdict.is_sound) {
+    // Late, or another request's: whatever follows on this connection is not
+    // to be trusted either.
+    LogLine(LogLevel::kWarning, "target.answer_unsound")
+        .Add("request_id", m_request_id)
+        .Add("status", answer.status);
+    Fail();
+    return;
+  }
+  m_connection->keep_alive = verdict.keep_alive.value_or(kMaxIdleTime);
+  const bool is_not_run = verdict.is_shed || verdict.is_wrong_target;
+  if (is_not_run && m_reader->is_done()) {
     // Its body is not relayed, so nothing else would bring the connection back.
     End(m_is_request_sent && m_reader->parser().keep_alive());
   }
   if (TargetListener* const listener = std::exchange(m_listener, nullptr)) {
-    listener->OnAnswer(std::move(answer), is_shed, shared_from_this());
+    listener->OnAnswer(std::move(answer), verdict, shared_from_this());
   }
 }
 
@@ -331,8 +359,11 @@
 
 }  // namespace
 
-TargetClient::TargetClient(asio::any_io_executor executor)
-    : m_executor(std::move(executor)), m_pool(std::make_shared<Pool>()) {}
+TargetClient::TargetClient(asio::any_io_executor executor,
+                           const TargetDialect& dialect)
+    : m_executor(std::move(executor)),
+      m_dialect(dialect),
+      m_pool(std::make_shared<Pool>()) {}
 
 TargetClient::~TargetClient() = default;
 
@@ -345,17 +376,13 @@
 
 std::shared_ptr<TargetExchange> TargetClient::Send(
     RequestHead head,
-    Duration time_left,
+    RequestId request_id,
     std::shared_ptr<BodySource> body,
     TargetListener* listener) {
-  const auto milliseconds =
-      std::chrono::duration_cast<std::chrono::milliseconds>(time_left).count();
-  head.headers.push_back(
-      {"Bulrushmount-Deadline-Ms",
-       std::to_string(std::max<std::int64_t>(1, milliseconds))});
   const Endpoint endpoint = m_pool->endpoint;
   auto exchange = std::make_shared<Exchange>(
-      std::move(head), std::move(body), listener,
+      m_dialect, std::move(head), std::move(request_id), std::move(body),
+      listener,
       [pool = std::weak_ptr<Pool>(m_pool),
        endpoint](std::shared_ptr<TargetConnection> connection) {
         if (const auto alive = pool.lock()) {
--- a/source/core/transport/target_client.h
+++ b/source/core/transport/target_client.h
@@ -14,6 +14,7 @@
 #include "core/common/time.h"
 #include "core/transport/body_stream.h"
 #include "core/transport/http1_head.h"
+#include "core/transport/target_dialect.h"
 
 namespace bulrushmount {
 
@@ -30,9 +31,9 @@
   // No byte of the request was handed over.
   virtual void OnConnectFailed() = 0;
 
-  // `is_shed`: the target says that it did not run the request.
+  // The verdict is sound.
   virtual void OnAnswer(AnswerHead head,
-                        bool is_shed,
+                        const TargetVerdict& verdict,
                         std::shared_ptr<BodySource> body) = 0;
 
   // Broke off before an answer, and bytes were handed over.
@@ -50,7 +51,10 @@
 
 class TargetClient {
  public:
-  explicit TargetClient(boost::asio::any_io_executor executor);
+  // `dialect` must outlive the client.
+  explicit TargetClient(
+      boost::asio::any_io_executor executor,
+      const TargetDialect& dialect = DefaultTargetDialect());
   ~TargetClient();
 
   TargetClient(const TargetClient&) = delete;
@@ -62,7 +66,7 @@
   // `listener` must outlive the exchange or cancel it; it is never called
   // before this returns.
   std::shared_ptr<TargetExchange> Send(RequestHead head,
-                                       Duration time_left,
+                                       RequestId request_id,
                                        std::shared_ptr<BodySource> body,
                                        TargetListener* listener);
 
@@ -72,6 +76,7 @@
   struct Pool;
 
   boost::asio::any_io_executor m_executor;
+  const TargetDialect& m_dialect;
   // Shared with the connections, which may end after this object.
   std::shared_ptr<Pool> m_pool;
 };
--- /dev/null
+++ b/source/core/transport/target_dialect.cc
@@ -0,0 +1,54 @@
+// Part of `target_dialect.h`.
+
+#include "core/transport/target_dialect.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+
+namespace bulrushmount {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
+
+}  // namespace
+
+void OwnTargetDialect::AddRequestFields(const WorkHead& work,
+                                        const InstanceId&,
+                                        Duration time_left,
+                                        RequestHead& head) const {
+  const auto milliseconds =
+      std::chrono::duration_cast<std::chrono::milliseconds>(time_left).count();
+  head.headers.push_back({"Bulrushmount-Customer", work.customer.value()});
+  head.headers.push_back({"Bulrushmount-Request-Id", work.request_id.value()});
+  head.headers.push_back(
+      {"Bulrushmount-Deadline-Ms",
+       std::to_string(std::max<std::int64_t>(1, milliseconds))});
+}
+
+TargetVerdict OwnTargetDialect::ReadAnswer(
+    const RequestId&,
+    int status,
+    const boost::beast::http::fields& fields) const {
+  TargetVerdict verdict;
+  verdict.is_shed =
+      status == kUnavailable && fields["Bulrushmount-Shed"] == "1";
+  return verdict;
+}
+
+HealthVerdict OwnTargetDialect::ReadHealth(
+    int status,
+    const boost::beast::http::fields&) const {
+  HealthVerdict verdict;
+  verdict.is_healthy = status == kOk;
+  return verdict;
+}
+
+const TargetDialect& DefaultTargetDialect() {
+  static const OwnTargetDialect dialect;
+  return dialect;
+}
+
+}  // namespace bulrushmount
--- a/source/examples/embed_claims.cc
+++ b/source/examples/embed_claims.cc
@@ -12,8 +12,8 @@
 
 #include "core/claims/claim_book.h"
 #include "core/common/random.h"
-#include "core/platform/in_memory_table.h"
-#include "core/platform/table_service.h"
+#include "core/store/in_memory_table.h"
+#include "core/store/table_service.h"
 
 namespace bulrushmount {
 namespace {
--- a/source/fuzz/table_codec_fuzz.cc
+++ b/source/fuzz/table_codec_fuzz.cc
@@ -4,7 +4,7 @@
 
 #include <boost/leaf.hpp>
 
-#include "core/platform/table_codec.h"
+#include "core/store/table_codec.h"
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
                                       std::size_t size) {
--- a/source/stand_ins/announcer.h
+++ b/source/stand_ins/announcer.h
@@ -10,7 +10,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include "core/platform/http_client.h"
+#include "core/store/http_client.h"
 
 namespace bulrushmount {
 
--- a/source/stand_ins/load_client.h
+++ b/source/stand_ins/load_client.h
@@ -14,7 +14,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
-#include "core/platform/idle_sockets.h"
+#include "core/store/idle_sockets.h"
 #include "stand_ins/load_plan.h"
 #include "stand_ins/load_summary.h"
 
--- a/source/stand_ins/platform_service.cc
+++ b/source/stand_ins/platform_service.cc
@@ -11,7 +11,7 @@
 #include <boost/json/parse.hpp>
 #include <boost/leaf/handle_errors.hpp>
 
-#include "core/platform/table_codec.h"
+#include "core/store/table_codec.h"
 
 namespace bulrushmount {
 namespace {
--- a/source/stand_ins/platform_service.h
+++ b/source/stand_ins/platform_service.h
@@ -11,8 +11,8 @@
 #include <boost/asio/io_context.hpp>
 
 #include "core/common/time.h"
-#include "core/platform/in_memory_object_store.h"
-#include "core/platform/in_memory_table.h"
+#include "core/store/in_memory_object_store.h"
+#include "core/store/in_memory_table.h"
 #include "stand_ins/http_server.h"
 
 namespace bulrushmount {
--- a/source/unit_tests/core/claims/claim_row_test.cc
+++ b/source/unit_tests/core/claims/claim_row_test.cc
@@ -8,7 +8,7 @@
 
 #include "core/claims/claim_sweeper.h"
 #include "unit_tests/core/claims/claim_world.h"
-#include "unit_tests/core/platform/fake_table_service.h"
+#include "unit_tests/core/store/fake_table_service.h"
 
 namespace bulrushmount {
 namespace {
--- a/source/unit_tests/core/claims/claim_world.h
+++ b/source/unit_tests/core/claims/claim_world.h
@@ -14,7 +14,7 @@
 #include <vector>
 
 #include "core/claims/claim_book.h"
-#include "core/platform/in_memory_table.h"
+#include "core/store/in_memory_table.h"
 
 namespace bulrushmount {
 
--- a/source/unit_tests/core/contracts/config_fleet.h
+++ b/source/unit_tests/core/contracts/config_fleet.h
@@ -15,7 +15,7 @@
 #include "core/contracts/config_sync.h"
 #include "core/contracts/contract_store.h"
 #include "core/contracts/contract_writer.h"
-#include "unit_tests/core/platform/fake_table_service.h"
+#include "unit_tests/core/store/fake_table_service.h"
 
 namespace bulrushmount {
 
--- a/source/unit_tests/core/contracts/config_table_reader_test.cc
+++ b/source/unit_tests/core/contracts/config_table_reader_test.cc
@@ -42,8 +42,8 @@
   ConfigTableReader reader(table);
   const Revision since(
       *rc::gen::inRange<std::uint64_t>(0, table.revision().value() + 1));
-  std::optional<TableReadResult> result;
-  reader.Read(since, [&](TimePoint, TableReadResult given) {
+  std::optional<ConfigReadResult> result;
+  reader.Read(since, [&](TimePoint, ConfigReadResult given) {
     result = std::move(given);
   });
   while (!result.has_value()) {
@@ -67,8 +67,8 @@
 TEST(ConfigTableReaderTest, TakesNothingFromATableThatWentBack) {
   HistoryTable table;
   ConfigTableReader reader(table);
-  std::optional<TableReadResult> result;
-  reader.Read(Revision(5), [&](TimePoint, TableReadResult given) {
+  std::optional<ConfigReadResult> result;
+  reader.Read(Revision(5), [&](TimePoint, ConfigReadResult given) {
     result = std::move(given);
   });
   table.fake().DeliverAll(TimePoint{});
--- a/source/unit_tests/core/contracts/contract_writer_test.cc
+++ b/source/unit_tests/core/contracts/contract_writer_test.cc
@@ -12,7 +12,7 @@
 #include "core/contracts/config_codec.h"
 #include "unit_tests/core/contracts/config_fleet.h"
 #include "unit_tests/core/contracts/contract_texts.h"
-#include "unit_tests/core/platform/fake_table_service.h"
+#include "unit_tests/core/store/fake_table_service.h"
 
 namespace bulrushmount {
 namespace {
--- a/source/unit_tests/core/measuring/budget_lease_test.cc
+++ b/source/unit_tests/core/measuring/budget_lease_test.cc
@@ -10,7 +10,7 @@
 #include <variant>
 
 #include "core/measuring/share_rows.h"
-#include "unit_tests/core/platform/fake_table_service.h"
+#include "unit_tests/core/store/fake_table_service.h"
 
 namespace bulrushmount {
 
--- a/source/unit_tests/core/measuring/probe_fleet.h
+++ b/source/unit_tests/core/measuring/probe_fleet.h
@@ -12,7 +12,7 @@
 
 #include "core/common/random.h"
 #include "core/measuring/probe_scheduler.h"
-#include "core/platform/in_memory_table.h"
+#include "core/store/in_memory_table.h"
 #include "unit_tests/core/common/virtual_time.h"
 #include "unit_tests/core/measuring/naive_budget.h"
 
--- a/source/unit_tests/core/membership/member_directory_test.cc
+++ b/source/unit_tests/core/membership/member_directory_test.cc
@@ -8,7 +8,7 @@
 
 #include <gtest/gtest.h>
 
-#include "unit_tests/core/platform/fake_table_service.h"
+#include "unit_tests/core/store/fake_table_service.h"
 
 namespace bulrushmount {
 namespace {
--- a/source/unit_tests/core/node_logic/event_script.h
+++ b/source/unit_tests/core/node_logic/event_script.h
@@ -17,7 +17,7 @@
 
 #include "core/common/random.h"
 #include "core/node_logic/node_logic.h"
-#include "core/platform/in_memory_table.h"
+#include "core/store/in_memory_table.h"
 
 namespace bulrushmount::testing {
 
--- a/source/unit_tests/core/node_logic/fleet.h
+++ b/source/unit_tests/core/node_logic/fleet.h
@@ -19,7 +19,7 @@
 #include "core/common/random.h"
 #include "core/node_logic/node_logic.h"
 #include "unit_tests/core/common/virtual_time.h"
-#include "unit_tests/core/platform/fake_table_service.h"
+#include "unit_tests/core/store/fake_table_service.h"
 
 namespace bulrushmount::testing {
 
--- a/source/unit_tests/core/platform/fake_object_store.cc
+++ b/source/unit_tests/core/store/fake_object_store.cc
@@ -1,6 +1,6 @@
 // Queues replies until a test delivers them.
 
-#include "unit_tests/core/platform/fake_object_store.h"
+#include "unit_tests/core/store/fake_object_store.h"
 
 #include <utility>
 
--- a/source/unit_tests/core/platform/fake_object_store.h
+++ b/source/unit_tests/core/store/fake_object_store.h
@@ -1,17 +1,17 @@
 // An object store in memory for unit tests of any module, with the faults of
 // the fake table.
 
-#ifndef BULRUSHMOUNT_UNIT_TESTS_CORE_PLATFORM_FAKE_OBJECT_STORE_H_
-#define BULRUSHMOUNT_UNIT_TESTS_CORE_PLATFORM_FAKE_OBJECT_STORE_H_
+#ifndef BULRUSHMOUNT_UNIT_TESTS_CORE_STORE_FAKE_OBJECT_STORE_H_
+#define BULRUSHMOUNT_UNIT_TESTS_CORE_STORE_FAKE_OBJECT_STORE_H_
 
 #include <cstddef>
 #include <deque>
 #include <functional>
 #include <string>
 
-#include "core/platform/in_memory_object_store.h"
-#include "core/platform/object_store.h"
-#include "unit_tests/core/platform/fake_table_service.h"
+#include "core/store/in_memory_object_store.h"
+#include "core/store/object_store.h"
+#include "unit_tests/core/store/fake_table_service.h"
 
 namespace bulrushmount {
 
@@ -50,4 +50,4 @@
 
 }  // namespace bulrushmount
 
-#endif  // BULRUSHMOUNT_UNIT_TESTS_CORE_PLATFORM_FAKE_OBJECT_STORE_H_
+#endif  // BULRUSHMOUNT_UNIT_TESTS_CORE_STORE_FAKE_OBJECT_STORE_H_
--- a/source/unit_tests/core/platform/fake_object_store_test.cc
+++ b/source/unit_tests/core/store/fake_object_store_test.cc
@@ -1,6 +1,6 @@
 // The faults of the fake object store: other modules' tests rely on them.
 
-#include "unit_tests/core/platform/fake_object_store.h"
+#include "unit_tests/core/store/fake_object_store.h"
 
 #include <optional>
 #include <string>
--- a/source/unit_tests/core/platform/fake_table_service.cc
+++ b/source/unit_tests/core/store/fake_table_service.cc
@@ -1,6 +1,6 @@
 // Queues replies until a test delivers them.
 
-#include "unit_tests/core/platform/fake_table_service.h"
+#include "unit_tests/core/store/fake_table_service.h"
 
 #include <utility>
 #include <variant>
--- a/source/unit_tests/core/platform/fake_table_service.h
+++ b/source/unit_tests/core/store/fake_table_service.h
@@ -1,15 +1,15 @@
 // A table service in memory for unit tests of any module. A test decides when
 // each reply arrives and which faults happen on the way.
 
-#ifndef BULRUSHMOUNT_UNIT_TESTS_CORE_PLATFORM_FAKE_TABLE_SERVICE_H_
-#define BULRUSHMOUNT_UNIT_TESTS_CORE_PLATFORM_FAKE_TABLE_SERVICE_H_
+#ifndef BULRUSHMOUNT_UNIT_TESTS_CORE_STORE_FAKE_TABLE_SERVICE_H_
+#define BULRUSHMOUNT_UNIT_TESTS_CORE_STORE_FAKE_TABLE_SERVICE_H_
 
 #include <cstddef>
 #include <cstdint>
 #include <deque>
 
-#include "core/platform/in_memory_table.h"
-#include "core/platform/table_service.h"
+#include "core/store/in_memory_table.h"
+#include "core/store/table_service.h"
 
 namespace bulrushmount {
 
@@ -69,4 +69,4 @@
 
 }  // namespace bulrushmount
 
-#endif  // BULRUSHMOUNT_UNIT_TESTS_CORE_PLATFORM_FAKE_TABLE_SERVICE_H_
+#endif  // BULRUSHMOUNT_UNIT_TESTS_CORE_STORE_FAKE_TABLE_SERVICE_H_
--- a/source/unit_tests/core/platform/fake_table_service_test.cc
+++ b/source/unit_tests/core/store/fake_table_service_test.cc
@@ -1,6 +1,6 @@
 // The fake's own faults: other modules' tests rely on what each one means.
 
-#include "unit_tests/core/platform/fake_table_service.h"
+#include "unit_tests/core/store/fake_table_service.h"
 
 #include <optional>
 #include <string>
--- a/source/unit_tests/core/platform/http_table_service_test.cc
+++ b/source/unit_tests/core/store/http_table_service_test.cc
@@ -1,6 +1,6 @@
 // The table and object adapters against an in-process platform stand-in.
 
-#include "core/platform/http_table_service.h"
+#include "core/store/http_table_service.h"
 
 #include <memory>
 #include <optional>
@@ -10,7 +10,7 @@
 
 #include <gtest/gtest.h>
 
-#include "core/platform/http_object_store.h"
+#include "core/store/http_object_store.h"
 #include "stand_ins/platform_service.h"
 
 namespace bulrushmount {
--- a/source/unit_tests/core/platform/in_memory_table_test.cc
+++ b/source/unit_tests/core/store/in_memory_table_test.cc
@@ -1,6 +1,6 @@
 // InMemoryTable against a naive table, over random command sequences.
 
-#include "core/platform/in_memory_table.h"
+#include "core/store/in_memory_table.h"
 
 #include <algorithm>
 #include <string>
--- a/source/unit_tests/core/transport/transport_test_support.h
+++ b/source/unit_tests/core/transport/transport_test_support.h
@@ -19,7 +19,7 @@
 
 #include "core/common/random.h"
 #include "core/node_logic/node_brain.h"
-#include "core/platform/table_service.h"
+#include "core/store/table_service.h"
 #include "core/transport/node_driver.h"
 
 namespace bulrushmount::testing {
