Read the configuration at once after a start, and spread returns

Refused callers were all told one second. Change: 0.3 s where the table is watched; Retry-After by the reason, spread over as long again (a module of its own, AdviseReturn).

--- a/source/core/contracts/config_sync.cc
+++ b/source/core/contracts/config_sync.cc
@@ -48,7 +48,9 @@
   m_next_pulse = now + UpTo(m_settings.pulse_period);
   // A newcomer has no configuration: it reads the table, unless a peer that it
   // hears of is faster.
-  m_table_at = now + UpTo(m_settings.startup_window);
+  m_table_at =
+      now + UpTo(m_reader->can_watch() ? m_settings.watch_startup_window
+                                       : m_settings.startup_window);
   WaitForTable(now);
 }
 
--- a/source/core/node_logic/entry_side.cc
+++ b/source/core/node_logic/entry_side.cc
@@ -10,6 +10,7 @@
 #include "core/pipeline/contract_filter.h"
 #include "core/pipeline/limit_filter.h"
 #include "core/pipeline/quarantine_filter.h"
+#include "core/pipeline/return_advice.h"
 #include "core/pipeline/route_filter.h"
 #include "core/routing/decaying_retry_budget.h"
 #include "core/routing/fleet_retry_budget.h"
@@ -61,7 +62,8 @@
     return;
   if (now >= m_refuse_from) {
     m_parts.actions.Push(
-        AnswerCaller{event.call, Outcome::kNotRun, Reason::kDraining});
+        AnswerCaller{event.call, Outcome::kNotRun, Reason::kDraining,
+                     AdviseReturn(Reason::kDraining, m_parts.random)});
     return;
   }
   m_pipeline.Start(now, event.call, std::move(event.head));
@@ -114,7 +116,9 @@
   if (call.answer_begun_at)
     m_parts.actions.Push(BreakAnswer{call.id});
   else
-    m_parts.actions.Push(AnswerCaller{call.id, end.outcome, end.reason});
+    m_parts.actions.Push(
+        AnswerCaller{call.id, end.outcome, end.reason,
+                     AdviseReturn(end.reason, m_parts.random)});
 }
 
 void EntrySide::Record(TimePoint now, const Call& call, const CallEnd& end) {
--- /dev/null
+++ b/source/core/pipeline/return_advice.h
@@ -0,0 +1,56 @@
+// When a refused caller had best come back.
+//
+// Load pattern: a disturbance or a burst fills all targets for some hundred
+// milliseconds, and all who are refused come back together. So a caller is told
+// when room is likely, and each another moment, spread over as long again.
+
+#ifndef BULRUSHMOUNT_CORE_PIPELINE_RETURN_ADVICE_H_
+#define BULRUSHMOUNT_CORE_PIPELINE_RETURN_ADVICE_H_
+
+#include <chrono>
+#include <optional>
+
+#include "core/common/outcome.h"
+#include "core/common/random.h"
+#include "core/common/time.h"
+
+namespace bulrushmount {
+
+// The least time after which the cause of the refusal is likely over; empty
+// where `TraitsOf(reason)` knows better.
+inline std::optional<Duration> LeastReturnTime(Reason reason) {
+  using std::chrono::milliseconds;
+  switch (reason) {
+    // Half of a usual disturbance.
+    case Reason::kOverloaded:
+    case Reason::kSlowTarget:
+    case Reason::kShed:
+      return milliseconds(250);
+    // A target that was restarted reports within a second or two.
+    case Reason::kNoTarget:
+    case Reason::kConnectFailed:
+    case Reason::kWrongTarget:
+    case Reason::kNodeUnreachable:
+      return milliseconds(500);
+    // Another node, or another target, takes it at once.
+    case Reason::kDraining:
+      return milliseconds(50);
+    // A node reads its configuration within a second of its start.
+    case Reason::kConfigurationUnknown:
+      return milliseconds(300);
+    default:
+      return std::nullopt;
+  }
+}
+
+inline std::optional<Duration> AdviseReturn(Reason reason,
+                                            RandomSource& random) {
+  const std::optional<Duration> least = LeastReturnTime(reason);
+  if (!least)
+    return std::nullopt;
+  return FromSeconds(ToSeconds(*least) * (1.0 + random.Fraction()));
+}
+
+}  // namespace bulrushmount
+
+#endif  // BULRUSHMOUNT_CORE_PIPELINE_RETURN_ADVICE_H_
