Serve counters and latency histograms, and tell dropped log lines together

Change: TrafficMetrics counts calls and works by outcome, reason and result, with latency histograms, in one registry that lasts; dropped lines are told once a second.

--- a/source/core/common/log_buffer.cc
+++ b/source/core/common/log_buffer.cc
@@ -25,6 +25,10 @@
 constexpr double kBytesPerSecond = 131'072;
 constexpr double kBurstBytes = 524'288;
 
+// Lines that were dropped are told together: a line for each few would only add
+// to what is too much.
+constexpr std::int64_t kTellPeriodNs = 1'000'000'000;
+
 std::int64_t SteadyNanoseconds() {
   return std::chrono::steady_clock::now().time_since_epoch().count();
 }
@@ -76,8 +80,10 @@
 }
 
 void LogBuffer::TellDropped() {
-  if (m_dropped == 0)
+  const std::int64_t now = SteadyNanoseconds();
+  if (m_dropped == 0 || now - m_told_at < kTellPeriodNs)
     return;
+  m_told_at = now;
   m_waiting +=
       fmt::format("level=warning event=log.dropped lines={}\n", m_dropped);
   m_dropped = 0;
--- a/source/core/node_logic/entry_side.cc
+++ b/source/core/node_logic/entry_side.cc
@@ -136,6 +136,9 @@
       .Add("last_refusal", TraitsOf(call.last_refusal).token)
       .Add("ms", ToMilliseconds(now - call.arrived_at))
       .Add("left_ms", ToMilliseconds(call.deadline - now));
+  m_parts.metrics.OnCall(call.head.service, end.outcome, end.reason,
+                         call.answer_begun_at.value_or(now) - call.arrived_at);
+  m_parts.metrics.OnAttempts(call.attempts_made);
   const bool has_terms = call.next_filter > 0;
   if (!has_terms)
     return;
--- a/source/core/node_logic/entry_side.h
+++ b/source/core/node_logic/entry_side.h
@@ -17,6 +17,7 @@
 #include "core/pipeline/dispatcher.h"
 #include "core/quarantine/quarantine.h"
 #include "core/reporting/call_recorder.h"
+#include "core/reporting/traffic_metrics.h"
 #include "core/routes/route_table.h"
 #include "core/routing/retry_budget.h"
 #include "core/routing/router.h"
@@ -33,6 +34,7 @@
     ClaimBook& claims;
     Router& router;
     CallRecorder& recorder;
+    TrafficMetrics& metrics;
     const OwnerDirectory& owners;
     RandomSource& random;
     ActionSink& actions;
--- a/source/core/node_logic/node.cc
+++ b/source/core/node_logic/node.cc
@@ -138,15 +138,16 @@
       m_claims(ClaimSettings(), m_table, random, AnchorAt(now)),
       m_claim_sweeper(SweepSettings(), m_table, random, now, AnchorAt(now)),
       m_recorder(now, kMaxReportSeries),
+      m_metrics(m_registry),
       m_router([picker = MakePickerSettings(settings)] {
         return std::make_unique<PowerOfChoicesPicker>(picker);
       }),
-      m_owner(settings, m_routes, m_quarantine, m_actions),
+      m_owner(settings, m_routes, m_quarantine, m_metrics, m_actions),
       m_probes(settings.id, MakeMeasuringSettings(settings), random),
       m_entry(settings,
               EntrySide::Parts{m_contracts, m_routes, m_limiter, m_quarantine,
-                               m_claims, m_router, m_recorder, *this, random,
-                               m_actions, m_event_time}) {
+                               m_claims, m_router, m_recorder, m_metrics, *this,
+                               random, m_actions, m_event_time}) {
   m_contracts.AddListener(this);
 }
 
--- a/source/core/node_logic/node.h
+++ b/source/core/node_logic/node.h
@@ -26,6 +26,8 @@
 #include "core/node_logic/ports.h"
 #include "core/quarantine/quarantine.h"
 #include "core/reporting/call_recorder.h"
+#include "core/reporting/metrics_page.h"
+#include "core/reporting/traffic_metrics.h"
 #include "core/routes/route_document.h"
 #include "core/routes/route_table.h"
 #include "core/routing/router.h"
@@ -123,6 +125,9 @@
   ClaimBook m_claims;
   ClaimSweeper m_claim_sweeper;
   CallRecorder m_recorder;
+  // Gauges are set when the page is asked for.
+  mutable MetricsRegistry m_registry;
+  TrafficMetrics m_metrics;
   Router m_router;
   OwnerSide m_owner;
   ProbeScheduler m_probes;
--- a/source/core/node_logic/node_pages.cc
+++ b/source/core/node_logic/node_pages.cc
@@ -124,7 +124,7 @@
 }
 
 std::string Node::MetricsText(TimePoint now) const {
-  MetricsRegistry registry;
+  MetricsRegistry& registry = m_registry;
   SetGauge(registry, "bulrushmount_calls", "Calls in progress at this entry.",
            static_cast<double>(m_entry.size()));
   SetGauge(registry, "bulrushmount_works",
--- a/source/core/node_logic/owner_side.cc
+++ b/source/core/node_logic/owner_side.cc
@@ -100,9 +100,11 @@
 OwnerSide::OwnerSide(const NodeSettings& settings,
                      const RouteTable& routes,
                      Quarantine& quarantine,
+                     TrafficMetrics& metrics,
                      ActionSink& actions)
     : m_routes(routes),
       m_quarantine(quarantine),
+      m_metrics(metrics),
       m_actions(actions),
       m_life(LifeSettings(settings)),
       m_admission(AdmissionSettings(), MakeLimit(settings)),
@@ -121,7 +123,9 @@
       .Add("handed_over", work.is_handed_over);
   const TimePoint waited_until = work.is_handed_over ? work.started_at : now;
   line.Add("wait_ms", Milliseconds(waited_until - work.arrived_at));
+  m_metrics.OnWork(result, waited_until - work.arrived_at);
   if (work.is_handed_over) {
+    m_metrics.OnRun(now - work.started_at);
     line.Add("run_ms", Milliseconds(now - work.started_at))
         .Add("running_at_start", work.running_at_start)
         .Add("slowdown_at_start", work.slowdown_at_start)
--- a/source/core/node_logic/owner_side.h
+++ b/source/core/node_logic/owner_side.h
@@ -22,6 +22,7 @@
 #include "core/node_logic/node_settings.h"
 #include "core/pipeline/dispatcher.h"
 #include "core/quarantine/quarantine.h"
+#include "core/reporting/traffic_metrics.h"
 #include "core/routes/route_table.h"
 #include "core/target_state/target_gate.h"
 #include "core/target_state/target_life.h"
@@ -35,6 +36,7 @@
   OwnerSide(const NodeSettings& settings,
             const RouteTable& routes,
             Quarantine& quarantine,
+            TrafficMetrics& metrics,
             ActionSink& actions);
 
   void OnWorkArrived(TimePoint now, const WorkArrived& event);
@@ -114,6 +116,7 @@
   // Also empty if the target has not been handed the work. A work that is still
   // queued must stay: the admission will start it.
   std::optional<Work> TakeHandedOver(WorkId work);
+  // Into the log and the metrics.
   void LogWork(TimePoint now, const Work& work, std::string_view result) const;
   void NoteCrash(TimePoint now);
   bool IsAnyHandedOver() const;
@@ -131,6 +134,7 @@
 
   const RouteTable& m_routes;
   Quarantine& m_quarantine;
+  TrafficMetrics& m_metrics;
   ActionSink& m_actions;
   TargetLife m_life;
   Admission m_admission;
