Serve who still comes to a leaving node, as far as it can finish

And a lost answer took its target out of service for a moment (target.crashed). Ruled out: readiness (not ready at once). Change: a leaving node serves until callers stay away for half a second, but begins nothing that may outlast it; where lost answers are no sign of a crash, only refused connections are.

--- a/source/core/node_logic/entry_side.cc
+++ b/source/core/node_logic/entry_side.cc
@@ -61,6 +61,7 @@
   // take away what the first holds, or give it two outcomes.
   if (m_pipeline.Find(event.call))
     return;
+  m_last_arrival = now;
   if (now >= m_refuse_from) {
     m_parts.actions.Push(
         AnswerCaller{event.call, Outcome::kNotRun, Reason::kDraining,
@@ -71,6 +72,13 @@
 }
 
 void EntrySide::OnCallAccepted(TimePoint now, Call& call) {
+  // What goes wrong without it: the node ends with the call under way, and its
+  // caller loses an answer that another node could have brought.
+  if (call.deadline > m_ends_at) {
+    m_pipeline.End(now, call.id,
+                   CallEnd{Outcome::kNotRun, Reason::kDraining, {}, false});
+    return;
+  }
   m_dispatcher.Start(now, call);
 }
 
--- a/source/core/node_logic/entry_side.h
+++ b/source/core/node_logic/entry_side.h
@@ -47,8 +47,15 @@
   void OnCallArrived(TimePoint now, CallArrived event);
   Dispatcher& dispatcher() { return m_dispatcher; }
 
-  // New calls are refused from `refuse_from` on; those under way go on.
-  void Drain(TimePoint refuse_from) { m_refuse_from = refuse_from; }
+  // New calls are refused from `refuse_from` on, and before that those that may
+  // take until after `ends_at`; those under way go on.
+  void Drain(TimePoint refuse_from, TimePoint ends_at) {
+    m_refuse_from = refuse_from;
+    m_ends_at = ends_at;
+  }
+
+  // When a call last came; the earliest time there is before the first.
+  TimePoint last_arrival() const { return m_last_arrival; }
 
   void SetFleetSize(std::size_t nodes) { m_retries->SetFleetSize(nodes); }
 
@@ -72,6 +79,8 @@
   Dispatcher m_dispatcher;
   bool m_has_route_document = false;
   TimePoint m_refuse_from = TimePoint::max();
+  TimePoint m_ends_at = TimePoint::max();
+  TimePoint m_last_arrival = TimePoint::min();
 };
 
 }  // namespace bulrushmount::detail
--- a/source/core/node_logic/node.cc
+++ b/source/core/node_logic/node.cc
@@ -24,6 +24,9 @@
 // table, and outcomes of claims while the table is down.
 constexpr Duration kLongestTidyUp = std::chrono::seconds(5);
 
+// A leaving node to which no call came for this long is known to be leaving.
+constexpr Duration kQuietTime = std::chrono::milliseconds(500);
+
 MembershipSettings MakeMembershipSettings(const NodeSettings& settings) {
   MembershipSettings membership;
   membership.heartbeat_period = settings.heartbeat_period;
@@ -160,13 +163,18 @@
   return m_actions.Take();
 }
 
+// While callers are served, whether they still come is looked at now and then.
+TimePoint Node::NextLeaveStep() const {
+  if (!m_leaving_since || m_has_exited)
+    return TimePoint::max();
+  if (m_has_told_leaving)
+    return *m_leaving_since + m_settings.longest_leave - kEndMargin;
+  return std::max(*m_leaving_since + m_settings.leave_time,
+                  m_event_time + kQuietTime);
+}
+
 TimePoint Node::NextWakeup() const {
-  TimePoint leave_step = TimePoint::max();
-  if (m_leaving_since && !m_has_exited) {
-    leave_step =
-        *m_leaving_since +
-        (m_has_told_leaving ? m_settings.longest_leave : m_settings.leave_time);
-  }
+  const TimePoint leave_step = NextLeaveStep();
   return std::min({leave_step, m_membership.NextWakeup(),
                    m_directory.NextWakeup(), m_contract_writer.NextWakeup(),
                    m_config_sync.NextWakeup(), m_limiter.NextWakeup(),
@@ -324,7 +332,7 @@
   if (m_leaving_since)
     return;
   m_leaving_since = now;
-  m_entry.Drain(now + m_settings.leave_time);
+  m_entry.Drain(now + LongestService(), LastAnswerAt(now));
   m_owner.Drain(now);
   LeaveWhenHeard(now);
   LogLine(LogLevel::kInfo, "node.leaving")
@@ -332,12 +340,39 @@
       .Add("works", m_owner.size());
 }
 
+// Calls that may take longer than this are not begun any more.
+TimePoint Node::LastAnswerAt(TimePoint leaving_since) const {
+  if (m_settings.leave_time <= Duration::zero())
+    return TimePoint::max();
+  return leaving_since + m_settings.longest_leave - kEndMargin;
+}
+
+// How long callers may be served after a shutdown was asked for.
+Duration Node::LongestService() const {
+  if (m_settings.leave_time <= Duration::zero())
+    return Duration::zero();
+  return std::max(m_settings.leave_time,
+                  m_settings.longest_leave - kLastMoments);
+}
+
 // Callers turn to other nodes only once they have seen that this one is not
-// ready. Until then it goes on as an entry, and hears of owners by gossip.
+// ready, and some have no other to turn to. Until they stay away it goes on as
+// an entry, and hears of owners by gossip.
+//
+// What goes wrong without it: the node refuses whoever still comes after a
+// fixed time; one would see callers refused for seconds by a node that was
+// well.
 void Node::LeaveWhenHeard(TimePoint now) {
   if (!m_leaving_since || m_has_told_leaving)
     return;
-  if (now - *m_leaving_since < m_settings.leave_time)
+  const Duration since = now - *m_leaving_since;
+  const bool is_idle = m_entry.size() == 0 && m_owner.size() == 0;
+  const bool is_quiet =
+      is_idle && (m_entry.last_arrival() == TimePoint::min() ||
+                  now - m_entry.last_arrival() >= kQuietTime);
+  const bool has_served = since >= m_settings.leave_time && is_quiet;
+  const bool must_end = since >= LongestService();
+  if (m_settings.leave_time > Duration::zero() && !has_served && !must_end)
     return;
   m_has_told_leaving = true;
   m_membership.Leave(now);
@@ -348,7 +383,7 @@
   if (!m_leaving_since || m_has_exited)
     return;
   const Duration since = now - *m_leaving_since;
-  if (since >= m_settings.longest_leave) {
+  if (since >= m_settings.longest_leave - kEndMargin) {
     m_has_exited = true;
     m_actions.Push(ExitProcess{});
     return;
--- a/source/core/node_logic/node.h
+++ b/source/core/node_logic/node.h
@@ -99,6 +99,9 @@
   void TellConfigSync(TimePoint now, const Member& member);
   void HearNewestRevision(TimePoint now);
   void TakeRouteDocument(TimePoint now);
+  Duration LongestService() const;
+  TimePoint LastAnswerAt(TimePoint leaving_since) const;
+  TimePoint NextLeaveStep() const;
   void LeaveWhenHeard(TimePoint now);
   void ExitWhenDone(TimePoint now);
   TimePoint SweepWakeup() const;
--- a/source/core/node_logic/node_settings.h
+++ b/source/core/node_logic/node_settings.h
@@ -14,6 +14,12 @@
 
 namespace bulrushmount {
 
+// The last part of NodeSettings::longest_leave, in which nothing new is taken:
+// what has begun can end, and the process ends by itself.
+inline constexpr Duration kLastMoments = std::chrono::milliseconds(800);
+// Of these, so much is left when the node ends whatever is under way.
+inline constexpr Duration kEndMargin = std::chrono::milliseconds(200);
+
 struct NodeSettings {
   NodeId id;
   // Where other nodes reach this one.
@@ -78,9 +84,10 @@
   double retry_slack = 5.0;
 
   // After a shutdown was asked for, callers that have not yet heard are served
-  // for this long.
+  // for this long, and for as long as they keep coming. 0: they are refused at
+  // once.
   Duration leave_time{};
-  // The node ends by then, whatever is under way.
+  // The node ends by then, whatever is under way: its platform would kill it.
   Duration longest_leave = std::chrono::hours(1);
 
   // How often a node of a small fleet looks at the table's rows of members.
--- a/source/core/node_logic/owner_side.cc
+++ b/source/core/node_logic/owner_side.cc
@@ -319,7 +319,8 @@
   m_actions.Push(FailWork{event.work, Reason::kTargetLost, load()});
   AdmissionOutput output =
       m_admission.OnEnded(now, event.work, WorkEnd::kFailed);
-  if (!IsAnyHandedOver())
+  // Where one lost answer is no sign of a crash, refused connections are.
+  if (!m_needs_crash && !IsAnyHandedOver())
     NoteCrash(now);
   Apply(now, output);
 }
--- a/source/core/transport/node_daemon.cc
+++ b/source/core/transport/node_daemon.cc
@@ -65,7 +65,8 @@
   driver.operators = settings.addresses.operators;
   driver.operator_token = std::move(token);
   driver.min_progress_time = node.min_progress_time;
-  driver.leave_time = node.leave_time;
+  if (node.leave_time > Duration::zero())
+    driver.leave_time = node.longest_leave - kLastMoments;
   const TransportSettings& transport = settings.transport;
   driver.callers.max_head = transport.max_head_bytes;
   driver.callers.max_buffered_body = transport.max_buffered_body_bytes;
