Log the table's loss and return, and the speed by which a start was refused

Cause: writing docs/OPERATIONS.md from the logs of the studio's incident, a refusal slow-target did not say which slowdown decided it, and nothing said when the table was lost. A random seed of the quarantine's property found a target that one request took down twice; it stays as a red test.

--- a/source/core/contracts/config_sync.cc
+++ b/source/core/contracts/config_sync.cc
@@ -336,6 +336,7 @@
 }
 
 void ConfigSync::OnTableRead(TimePoint now, const ConfigReadResult& result) {
+  NoteTable(now, result.is_ok);
   const bool was_fetch = m_fetch_state == FetchState::kTableReading;
   if (!result.is_ok) {
     if (!was_fetch)
@@ -365,6 +366,18 @@
   StartWatch(now);
 }
 
+// One line when the table is lost, and one when it is back.
+void ConfigSync::NoteTable(TimePoint now, bool is_well) {
+  if (is_well == m_is_table_well)
+    return;
+  m_is_table_well = is_well;
+  LogLine line(is_well ? LogLevel::kInfo : LogLevel::kWarning,
+               is_well ? "dependency.regained" : "dependency.lost");
+  line.Add("dependency", "table").Add("revision", m_store.revision());
+  if (const std::optional<Duration> age = AgeOfConfirmation(now))
+    line.Add("confirmed_ms_ago", ToMilliseconds(*age));
+}
+
 void ConfigSync::StartWatch(TimePoint now) {
   if (!m_reader->can_watch() || m_is_watching)
     return;
@@ -377,6 +390,7 @@
 
 void ConfigSync::OnWatched(TimePoint now, const ConfigReadResult& result) {
   m_is_watching = false;
+  NoteTable(now, result.is_ok);
   if (result.is_ok) {
     m_confirmed_at = std::max(m_confirmed_at.value_or(now), now);
     if (result.batch.has_value())
--- a/source/core/contracts/config_sync.h
+++ b/source/core/contracts/config_sync.h
@@ -134,6 +134,7 @@
 
   // A reader that can watch makes polls needless: the answer to a watch comes
   // with the change, and an idle node asks once in kWatchTime.
+  void NoteTable(TimePoint now, bool is_well);
   void StartWatch(TimePoint now);
   void ResumeWatching(TimePoint now);
   void OnWatched(TimePoint now, const ConfigReadResult& result);
@@ -172,6 +173,8 @@
   std::uint32_t m_table_failures = 0;
 
   bool m_is_watching = false;
+  // The last answer of the table made sense.
+  bool m_is_table_well = true;
   TimePoint m_read_started;
   std::optional<TimePoint> m_confirmed_at;
 };
--- a/source/core/node_logic/owner_side.cc
+++ b/source/core/node_logic/owner_side.cc
@@ -132,7 +132,9 @@
         .Add("slowdown_age_ms", Milliseconds(work.slowdown_age));
   }
   const LoadReport now_load = load();
-  line.Add("running", now_load.in_flight)
+  line.Add("slowdown", m_speed.slowdown())
+      .Add("told_ms_ago", Milliseconds(m_speed.AgeAt(now)))
+      .Add("running", now_load.in_flight)
       .Add("queued", now_load.queued)
       .Add("limit", now_load.limit)
       .Add("left_ms", Milliseconds(work.deadline - now));
--- a/source/core/transport/caller_connection.cc
+++ b/source/core/transport/caller_connection.cc
@@ -303,7 +303,7 @@
   m_is_last = true;
   const RequestId request_id =
       m_exchange ? m_exchange->m_head.request_id : RequestId();
-  LogLine(LogLevel::kDebug, "caller.refused")
+  LogLine(LogLevel::kInfo, "caller.refused")
       .Add("reason", TraitsOf(reason).token)
       .Add("request_id", request_id);
   m_exchange = nullptr;
--- a/source/unit_tests/core/quarantine/quarantine_property_test.cc
+++ b/source/unit_tests/core/quarantine/quarantine_property_test.cc
@@ -85,22 +85,14 @@
   }
 }
 
-// Symptom: a suspect runs twice at once, or takes down more targets than the
-// copies in flight at its first crash and one more; or an innocent stays
-// refused.
-// Sequence: any order of calls, deaths and freezes below a permit's term, with
-// lost, repeated and overtaken datagrams and late gossip.
-// Cause: permits that two homes grant, or news that an older piece undoes.
-RC_GTEST_PROP(QuarantineFleetTest, HoldsItsBounds, ()) {
-  const auto seed = *rc::gen::arbitrary<std::uint64_t>();
-  const auto steps = *rc::gen::container<std::vector<Step>>(12, AnyStep());
-  QuarantineFleet fleet(kNodes, seed);
+void PlaySteps(QuarantineFleet& fleet,
+               NaiveBound& naive,
+               const std::vector<Step>& steps) {
   fleet.AddPoison(kPoison);
   fleet.SetGossip(kSpread, 0.1);
   fleet.Advance(std::chrono::seconds(7));
   fleet.network().SetFaults(
       {0.2, 0.2, std::chrono::milliseconds(1), std::chrono::milliseconds(80)});
-  NaiveBound naive;
   for (const Step& step : steps) {
     Apply(fleet, step);
     if (step.is_poison)
@@ -114,6 +106,20 @@
     }
   }
   fleet.Advance(std::chrono::seconds(10));
+}
+
+// Symptom: a suspect runs twice at once, or takes down more targets than the
+// copies in flight at its first crash and one more; or an innocent stays
+// refused.
+// Sequence: any order of calls, deaths and freezes below a permit's term, with
+// lost, repeated and overtaken datagrams and late gossip.
+// Cause: permits that two homes grant, or news that an older piece undoes.
+RC_GTEST_PROP(QuarantineFleetTest, HoldsItsBounds, ()) {
+  const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+  const auto steps = *rc::gen::container<std::vector<Step>>(12, AnyStep());
+  QuarantineFleet fleet(kNodes, seed);
+  NaiveBound naive;
+  PlaySteps(fleet, naive, steps);
   RC_ASSERT(fleet.WorstTogether() <= 1U);
   RC_ASSERT(fleet.WorstOnTarget() <= 1U);
   RC_ASSERT(fleet.TargetsCrashed() <= naive.CrashesAtMost());
@@ -134,5 +140,28 @@
               Verdict::kClear);
 }
 
+// Symptom: one target is taken down twice by the same request. Sequence: as a
+// random seed of the property above found and shrank it: two copies of the
+// poison nine seconds apart on one target, innocents between them, a fifth of
+// all datagrams lost. Cause: not known yet.
+TEST(QuarantineFleetRegression, APoisonTakesOneTargetDownOnce) {
+  const auto step = [](std::size_t node, bool is_poison, std::int64_t runs,
+                       std::int64_t wait) {
+    return Step{Fault::kNone, node, 0, is_poison, runs, wait};
+  };
+  const std::vector<Step> steps = {
+      step(0, true, 1350, 700),   step(0, false, 1, 50),
+      step(0, false, 600, 700),   step(1, false, 1, 4000),
+      step(0, false, 3867, 4000), step(1, false, 74, 50),
+      step(0, false, 1, 1),       step(0, false, 1, 0),
+      step(0, true, 1, 700),      step(0, false, 1, 50),
+      step(0, false, 1, 4000),    step(0, false, 1, 1)};
+  constexpr std::uint64_t kFoundSeed = 16;
+  QuarantineFleet fleet(kNodes, kFoundSeed);
+  NaiveBound naive;
+  PlaySteps(fleet, naive, steps);
+  EXPECT_LE(fleet.WorstOnTarget(), 1U);
+}
+
 }  // namespace
 }  // namespace bulrushmount
