Mend what the linter found in the platform's code

Cause: names of local constants, copies of callbacks, a log line that was not named, two equal branches.

--- a/source/core/contracts/config_reader.h
+++ b/source/core/contracts/config_reader.h
@@ -38,7 +38,7 @@
   // Calls back once there is something newer, or at the end of a wait without.
   // Not ok: it may have missed a change, so read again. One at a time, after a
   // read that was ok.
-  virtual void Watch(Revision /*since*/, Callback /*done*/) {}
+  virtual void Watch(Revision since, const Callback& done) {}
 };
 
 }  // namespace bulrushmount
--- a/source/core/contracts/operator_document_reader.cc
+++ b/source/core/contracts/operator_document_reader.cc
@@ -22,10 +22,9 @@
                  });
 }
 
-void OperatorDocumentReader::Watch(Revision since, Callback done) {
+void OperatorDocumentReader::Watch(Revision since, const Callback& done) {
   m_table.Submit(TableWatch{kOperatorDocumentRow, m_seen, kWatchTime},
-                 [this, since, done = std::move(done)](
-                     TimePoint now, const TableReply& reply) {
+                 [this, since, done](TimePoint now, const TableReply& reply) {
                    done(now, Take(since, reply));
                  });
 }
--- a/source/core/contracts/operator_document_reader.h
+++ b/source/core/contracts/operator_document_reader.h
@@ -32,7 +32,7 @@
   bool is_reading() const override { return m_is_reading; }
   void Read(Revision since, Callback done) override;
   bool can_watch() const override { return true; }
-  void Watch(Revision since, Callback done) override;
+  void Watch(Revision since, const Callback& done) override;
 
  private:
   ConfigReadResult Take(Revision since, const TableReply& reply);
--- a/source/core/node_logic/owner_side.cc
+++ b/source/core/node_logic/owner_side.cc
@@ -391,7 +391,7 @@
     ReleaseHeld(now);
     return true;
   }
-  LogLine(LogLevel::kInfo, "target.probe_failed");
+  const LogLine line(LogLevel::kInfo, "target.probe_failed");
   Obey(now, m_gate.OnProbeFailed());
   return true;
 }
--- a/source/core/transport/target_client.cc
+++ b/source/core/transport/target_client.cc
@@ -304,10 +304,11 @@
   if (is_bodiless && length != message.end()) {
     answer.headers.push_back({"Content-Length", std::string(length->value())});
   }
-  if (!is_bodiless && m_reader->parser().chunked()) {
-    answer.shape.framing = BodyFraming::kChunked;
-  } else if (!is_bodiless && m_reader->parser().need_eof()) {
-    // Passed on in chunks, so that its end can be told from a break.
+  // One that ends with its connection is passed on in chunks, so that its end
+  // can be told from a break.
+  const bool is_open_ended =
+      m_reader->parser().chunked() || m_reader->parser().need_eof();
+  if (!is_bodiless && is_open_ended) {
     answer.shape.framing = BodyFraming::kChunked;
   } else if (!is_bodiless) {
     answer.shape.framing = BodyFraming::kLength;
--- a/source/unit_tests/core/quarantine/quarantine_property_test.cc
+++ b/source/unit_tests/core/quarantine/quarantine_property_test.cc
@@ -156,8 +156,8 @@
       step(0, false, 1, 1),       step(0, false, 1, 0),
       step(0, true, 1, 700),      step(0, false, 1, 50),
       step(0, false, 1, 4000),    step(0, false, 1, 1)};
-  constexpr std::uint64_t kFoundSeed = 16;
-  QuarantineFleet fleet(kNodes, kFoundSeed);
+  constexpr std::uint64_t found_seed = 16;
+  QuarantineFleet fleet(kNodes, found_seed);
   NaiveBound naive;
   PlaySteps(fleet, naive, steps);
   EXPECT_LE(fleet.WorstOnTarget(), 1U);
--- a/source/unit_tests/core/routing/fleet_retry_budget_test.cc
+++ b/source/unit_tests/core/routing/fleet_retry_budget_test.cc
@@ -18,6 +18,7 @@
 using std::chrono::seconds;
 
 const ServiceName kService("vault");
+constexpr std::size_t kNodes = 11;
 
 FleetRetryBudgetSettings ExampleSettings() {
   return {.window = seconds(10), .fraction = 0.2, .slack = 56};
@@ -38,7 +39,6 @@
 // part for itself, and counts that decay remember the burst for longer than the
 // window.
 TEST(FleetRetryBudgetTest, ElevenNodesStayWithinOneBudget) {
-  constexpr std::size_t kNodes = 11;
   const FleetRetryBudgetSettings settings = ExampleSettings();
   std::vector<FleetRetryBudget> nodes(kNodes, FleetRetryBudget(settings));
   for (FleetRetryBudget& node : nodes)
