--- a/source/fuzz/caller_connection_fuzz.cc
+++ b/source/fuzz/caller_connection_fuzz.cc
@@ -61,7 +61,8 @@
   std::weak_ptr<detail::CallerConnection> weak;
   {
     auto connection = std::make_shared<detail::CallerConnection>(
-        std::move(socket), acceptor, random, limits);
+        std::move(socket), acceptor, random,
+        std::make_shared<CallerLimits>(limits), DefaultCallerDialect());
     connection->Start();
     weak = connection;
   }
