--- a/source/core/admission/admission.h
+++ b/source/core/admission/admission.h
@@ -80,7 +80,7 @@
   // and nothing is started on it: how long a request takes is settled
   // when it starts, and one that starts then holds its slot for as long as
   // several others would. In a replay of targets that are disturbed a third of
-  // the time, seven-fold, this doubles what they get done.
+  // the time, seven-fold, 1.56 times as many answers are in time (442, 688).
   double hold_from_slowdown = 2.0;
   // What is told for one to two times this long is the usual.
   Duration usual_window = std::chrono::milliseconds(1500);
--- a/source/core/contracts/config_sync.h
+++ b/source/core/contracts/config_sync.h
@@ -29,7 +29,7 @@
   Duration startup_window = std::chrono::seconds(2);
   // The same where the table is watched: one read and no polls. After a loss of
   // power of the whole fleet nothing is served until the first node has read;
-  // with 2 s that took 1.05 s, and with this 0.2 s. A fleet of 1,100 that
+  // with 2 s that took 1.05 s, and with this 0.1 s. A fleet of 1,100 that
   // starts at once reads 3,700 times a second for this long.
   Duration watch_startup_window = std::chrono::milliseconds(300);
   // A request to a peer counts as lost after this.
--- a/source/unit_tests/core/admission/disturbed_load_test.cc
+++ b/source/unit_tests/core/admission/disturbed_load_test.cc
@@ -133,6 +133,7 @@
 TEST_P(DisturbedLoadTest, HoldingStartsGetsMoreDoneInTime) {
   const ReplayResult without = Replay(GetParam(), false).Run(60s);
   const ReplayResult with = Replay(GetParam(), true).Run(60s);
+  ASSERT_GT(without.in_time, 0);
   EXPECT_GE(with.in_time, GetParam().least_gain * without.in_time)
       << "in time without " << without.in_time << ", with " << with.in_time
       << ", answered " << without.answered << " and " << with.answered
@@ -148,7 +149,7 @@
         DisturbedLoad{"LowLoad", 4, 500ms, 0.35, 7, 1, 1.0},
         DisturbedLoad{"Undisturbed", 20, 500ms, 0, 1, 1, 1.0},
         // Slow for good is not disturbed: it must not wait for better days.
-        DisturbedLoad{"SlowForGood", 6, 500ms, 1, 4, 1, 0.95},
+        DisturbedLoad{"SlowForGood", 6, 500ms, 1, 3, 1, 0.95},
         DisturbedLoad{"StillCold", 12, 500ms, 0, 1, 2, 0.95}),
     [](const auto& info) { return std::string(info.param.name); });
 
