Run one permit at a time on a target, whatever its owner has heard

Cause: an entry that has missed a clearance sends the cleared request with a permit. Its owner knew of the clearance, judged the running copy by its own table as no suspect, and admitted a poison request with a permit beside it. The crash then convicts both: an innocent is refused for ten minutes.

Change: an owner counts copies by how they were admitted, and a permitted copy bars another one until it ends.

Conclusion: what an owner knows may be newer than what its entry acts on, so both have to count.

--- a/source/core/node_logic/owner_side.cc
+++ b/source/core/node_logic/owner_side.cc
@@ -110,6 +110,10 @@
       m_admission(AdmissionSettings(), MakeLimit(settings)),
       m_needs_crash(settings.needs_crash_to_suspect) {}
 
+AdmittedWork OwnerSide::AdmittedAs(const Work& work) {
+  return {work.head.fingerprint, work.head.is_suspect};
+}
+
 // One line a request, with the id under which its entry logs it as well.
 void OwnerSide::LogWork(TimePoint now,
                         const Work& work,
@@ -220,7 +224,7 @@
 void OwnerSide::RefuseAdmitted(TimePoint now, WorkId id, Reason reason) {
   const std::optional<Work> work = Take(id);
   LogWork(now, *work, TraitsOf(reason).token);
-  m_quarantine.OnWorkEnded(work->head.fingerprint);
+  m_quarantine.OnWorkEnded(AdmittedAs(*work));
   Refuse(id, reason);
 }
 
@@ -266,7 +270,7 @@
   LogWork(now, *work, "cancelled");
   if (work->is_handed_over)
     m_actions.Push(CancelWork{id});
-  m_quarantine.OnWorkEnded(work->head.fingerprint);
+  m_quarantine.OnWorkEnded(AdmittedAs(*work));
   Apply(now, m_admission.OnCancelled(now, id));
 }
 
@@ -306,7 +310,7 @@
   const bool is_error = work->status >= kFirstServerError;
   m_life.OnReal(now, is_error ? RealResult::kError : RealResult::kAnswered,
                 work->head.customer);
-  m_quarantine.OnWorkEnded(work->head.fingerprint);
+  m_quarantine.OnWorkEnded(AdmittedAs(*work));
   Apply(now, m_admission.OnEnded(now, id, WorkEnd::kAnswered));
 }
 
@@ -472,12 +476,12 @@
 // once: what its entry and others do in the meantime could take down the next
 // target. One that is innocent is cleared when it finishes alone.
 void OwnerSide::NoteBroken(TimePoint now, const Work& work) {
-  const CrashedWork broken{work.head.fingerprint, work.head.is_suspect};
+  const AdmittedWork broken = AdmittedAs(work);
   if (!m_needs_crash) {
     m_quarantine.OnTargetCrashed(now, {broken});
     return;
   }
-  m_quarantine.OnWorkEnded(work.head.fingerprint);
+  m_quarantine.OnWorkEnded(broken);
   std::erase_if(m_broken, [now](const BrokenWork& old) {
     return now - old.at > kCrashNoticedWithin;
   });
@@ -487,7 +491,7 @@
 }
 
 void OwnerSide::AccuseBroken(TimePoint now) {
-  std::vector<CrashedWork> accused;
+  std::vector<AdmittedWork> accused;
   for (const BrokenWork& broken : m_broken) {
     if (now - broken.at <= kCrashNoticedWithin)
       accused.push_back(broken.work);
@@ -550,7 +554,7 @@
   for (const AdmissionRefusal& refusal : output.refuse) {
     if (const std::optional<Work> work = Take(refusal.work)) {
       LogWork(now, *work, TraitsOf(refusal.reason).token);
-      m_quarantine.OnWorkEnded(work->head.fingerprint);
+      m_quarantine.OnWorkEnded(AdmittedAs(*work));
     }
     Refuse(refusal.work, refusal.reason);
   }
@@ -578,7 +582,7 @@
     return;
   LogWork(now, *work, TraitsOf(reason).token);
   m_life.OnReal(now, result, work->head.customer);
-  m_quarantine.OnWorkEnded(work->head.fingerprint);
+  m_quarantine.OnWorkEnded(AdmittedAs(*work));
   AdmissionOutput output = m_admission.OnEnded(now, id, WorkEnd::kNotRun);
   Refuse(id, reason);
   Apply(now, output);
--- a/source/core/node_logic/owner_side.h
+++ b/source/core/node_logic/owner_side.h
@@ -90,7 +90,7 @@
   // An exchange that broke off, while nobody knows whether the target is down.
   struct BrokenWork {
     TimePoint at;
-    CrashedWork work;
+    AdmittedWork work;
   };
 
   // Whether the target's word of its speed is too old to start a request by.
@@ -128,6 +128,8 @@
   std::optional<ProbeId> SendOwnProbe(TimePoint now,
                                       const TargetHeartbeat& target,
                                       Duration patience);
+  // How the quarantine knows it.
+  static AdmittedWork AdmittedAs(const Work& work);
   void NoteBroken(TimePoint now, const Work& work);
   void AccuseBroken(TimePoint now);
   void SyncAdmission(TimePoint now);
--- a/source/core/quarantine/quarantine.cc
+++ b/source/core/quarantine/quarantine.cc
@@ -109,26 +109,31 @@
     if (RunsSuspect(now))
       return Reason::kSuspect;
   }
-  ++m_running[fingerprint];
+  RunningCopies& copies = m_running[fingerprint];
+  ++(is_suspect ? copies.suspect : copies.plain);
   return Reason::kNone;
 }
 
-void Quarantine::OnWorkEnded(Fingerprint fingerprint) {
-  const auto found = m_running.find(fingerprint);
-  if (found != m_running.end() && --found->second == 0)
+void Quarantine::OnWorkEnded(const AdmittedWork& work) {
+  const auto found = m_running.find(work.fingerprint);
+  if (found == m_running.end())
+    return;
+  RunningCopies& copies = found->second;
+  --(work.is_suspect ? copies.suspect : copies.plain);
+  if (copies.plain + copies.suspect == 0)
     m_running.erase(found);
 }
 
 void Quarantine::OnTargetCrashed(TimePoint now,
-                                 const std::vector<CrashedWork>& works) {
-  for (const CrashedWork& work : works)
-    OnWorkEnded(work.fingerprint);
+                                 const std::vector<AdmittedWork>& works) {
+  for (const AdmittedWork& work : works)
+    OnWorkEnded(work);
   AccuseEnded(now, works);
 }
 
 void Quarantine::AccuseEnded(TimePoint now,
-                             const std::vector<CrashedWork>& works) {
-  for (const CrashedWork& work : works) {
+                             const std::vector<AdmittedWork>& works) {
+  for (const AdmittedWork& work : works) {
     NoteAndSpread(now, work.fingerprint,
                   work.is_suspect ? SuspicionState::kConvicted
                                   : SuspicionState::kSuspect);
@@ -446,9 +451,14 @@
       });
 }
 
+// What goes wrong with the verdict alone: an entry that has missed a clearance
+// sends the cleared request with a permit. A poison request admitted beside it
+// takes the target down, and that entry convicts both. So a copy counts by how
+// it was admitted as well.
 bool Quarantine::RunsSuspect(TimePoint now) {
   return std::any_of(m_running.begin(), m_running.end(), [&](const auto& item) {
-    return m_suspicions.Judge(now, item.first) != Verdict::kClear;
+    return item.second.suspect > 0 ||
+           m_suspicions.Judge(now, item.first) != Verdict::kClear;
   });
 }
 
--- a/source/core/quarantine/quarantine.h
+++ b/source/core/quarantine/quarantine.h
@@ -28,10 +28,10 @@
 
 namespace bulrushmount {
 
-// A request that was in flight at a target when it went down.
-struct CrashedWork {
+// A request that an owner admitted to its target.
+struct AdmittedWork {
   Fingerprint fingerprint;
-  // It ran as a suspect, with a permit.
+  // It was admitted as a suspect, with a permit.
   bool is_suspect = false;
 };
 
@@ -102,15 +102,15 @@
   // a crash, its place in OnTargetCrashed. kQuarantined: convicted. kSuspect: a
   // suspect whose entry does not know, or another suspect runs here.
   Reason AdmitWork(TimePoint now, Fingerprint fingerprint, bool is_suspect);
-  void OnWorkEnded(Fingerprint fingerprint);
+  void OnWorkEnded(const AdmittedWork& work);
 
   // The target beside this node went down with `works` handed to it and not
   // ended; these owe no OnWorkEnded.
-  void OnTargetCrashed(TimePoint now, const std::vector<CrashedWork>& works);
+  void OnTargetCrashed(TimePoint now, const std::vector<AdmittedWork>& works);
 
   // The same for works whose OnWorkEnded was called before it was known that
   // the target went down.
-  void AccuseEnded(TimePoint now, const std::vector<CrashedWork>& works);
+  void AccuseEnded(TimePoint now, const std::vector<AdmittedWork>& works);
 
   // --- All ---
 
@@ -158,6 +158,12 @@
     SentAsk previous_ask;
   };
 
+  // Copies of one request that run here, by how they were admitted.
+  struct RunningCopies {
+    std::size_t plain = 0;
+    std::size_t suspect = 0;
+  };
+
   // Members until a change of late: a permit of that time's home may be in use.
   struct PastMembers {
     TimePoint until;
@@ -213,8 +219,8 @@
   std::unordered_map<Fingerprint, Permit> m_permits;
   std::uint64_t m_last_permit = 0;
   std::uint64_t m_last_ask = 0;
-  // What runs on the target beside this node, with the number of copies.
-  std::unordered_map<Fingerprint, std::size_t> m_running;
+  // What runs on the target beside this node. Never both counts zero.
+  std::unordered_map<Fingerprint, RunningCopies> m_running;
 };
 
 }  // namespace bulrushmount
--- a/source/unit_tests/core/quarantine/quarantine_fleet.h
+++ b/source/unit_tests/core/quarantine/quarantine_fleet.h
@@ -222,7 +222,7 @@
         const bool is_lost = run.is_suspect && run.entry == entry &&
                              run.fingerprint == fingerprint;
         if (is_lost)
-          node(run.owner).OnWorkEnded(fingerprint);
+          node(run.owner).OnWorkEnded({fingerprint, true});
         return is_lost;
       });
     }
@@ -304,7 +304,7 @@
         CrashTarget(run.owner);
       } else {
         m_runs.erase(ended);
-        node(run.owner).OnWorkEnded(run.fingerprint);
+        node(run.owner).OnWorkEnded({run.fingerprint, run.is_suspect});
         ++m_counts[run.fingerprint].finished;
         m_ends.push_back({run, RunEnd::kFinished});
         TellEntries();
@@ -325,7 +325,7 @@
   void CrashTarget(std::size_t owner) {
     ++m_crashes;
     const std::vector<Run> lost = TakeRuns(owner);
-    std::vector<CrashedWork> works;
+    std::vector<AdmittedWork> works;
     works.reserve(lost.size());
     for (const Run& run : lost)
       works.push_back({run.fingerprint, run.is_suspect});
--- a/source/unit_tests/core/quarantine/quarantine_test.cc
+++ b/source/unit_tests/core/quarantine/quarantine_test.cc
@@ -86,6 +86,23 @@
   EXPECT_EQ(owner.AdmitWork(now, kInnocent, true), Reason::kSuspect);
 }
 
+// Symptom: a request that was cleared is convicted, and refused everywhere.
+// Sequence: its clearance does not reach one entry, which sends it with a
+// permit; a poison request is admitted beside it and takes the target down; the
+// entry convicts both. Cause: the owner, which knows of the clearance, takes
+// the one that runs for no suspect.
+TEST_F(QuarantineTest, TheOwnerRunsOnePermitAtATimeWhateverItKnows) {
+  Quarantine& owner = m_fleet.node(0);
+  const TimePoint now = m_fleet.now();
+  owner.OnTargetLost(now, kInnocent);
+  owner.EndPermit(now, kInnocent, PermitEnd::kFinished);
+  ASSERT_EQ(owner.Check(now, kInnocent), Verdict::kClear);
+  ASSERT_EQ(owner.AdmitWork(now, kInnocent, true), Reason::kNone);
+  EXPECT_EQ(owner.AdmitWork(now, kPoison, true), Reason::kSuspect);
+  owner.OnWorkEnded({kInnocent, true});
+  EXPECT_EQ(owner.AdmitWork(now, kPoison, true), Reason::kNone);
+}
+
 // Symptom: a reader's search is refused for ever because it once ran beside a
 // poison request.
 // Sequence: both are in flight at one target when it crashes; the search is
