Split the owner's side by what each part knows

Now apart: what it asks its target (target_inquiry), exchanges that broke off (broken_exchanges), announcements that stopped (announcement_watch), a work and its log line (owned_work), and how a deployment's targets are judged (owner_policies).

Also: call.ended leaves out left_ms where no route matched; it said 292 years.

--- a/source/core/node_logic/entry_side.cc
+++ b/source/core/node_logic/entry_side.cc
@@ -131,8 +131,8 @@
 }
 
 void EntrySide::Record(TimePoint now, const Call& call, const CallEnd& end) {
-  LogLine(LogLevel::kInfo, "call.ended")
-      .Add("request_id", call.head.request_id)
+  LogLine line(LogLevel::kInfo, "call.ended");
+  line.Add("request_id", call.head.request_id)
       .Add("host", call.head.host)
       .Add("kind", call.terms.kind.name)
       .Add("service", call.head.service)
@@ -142,8 +142,10 @@
       .Add("attempts", call.attempts_made)
       .Add("hand_overs", call.hand_overs)
       .Add("last_refusal", TraitsOf(call.last_refusal).token)
-      .Add("ms", ToMilliseconds(now - call.arrived_at))
-      .Add("left_ms", ToMilliseconds(call.deadline - now));
+      .Add("ms", ToMilliseconds(now - call.arrived_at));
+  // A call that no route matches has no deadline.
+  if (call.deadline != TimePoint::max())
+    line.Add("left_ms", ToMilliseconds(call.deadline - now));
   m_parts.metrics.OnCall(call.head.service, end.outcome, end.reason,
                          call.answer_begun_at.value_or(now) - call.arrived_at);
   m_parts.metrics.OnAttempts(call.attempts_made);
--- a/source/core/node_logic/owner_side.cc
+++ b/source/core/node_logic/owner_side.cc
@@ -3,18 +3,14 @@
 #include "core/node_logic/owner_side.h"
 
 #include <algorithm>
-#include <cmath>
 #include <cstddef>
 #include <cstdint>
-#include <limits>
 #include <memory>
 #include <string_view>
 #include <utility>
 
-#include "core/admission/adaptive_limit.h"
-#include "core/admission/knee_limit.h"
-#include "core/common/hex.h"
 #include "core/common/logging.h"
+#include "core/node_logic/owner_policies.h"
 
 namespace bulrushmount::detail {
 
@@ -22,22 +18,6 @@
 
 constexpr int kFirstServerError = 500;
 
-// For the log: to a hundredth.
-double Milliseconds(Duration duration) {
-  return std::round(ToMilliseconds(duration) * 100) / 100;
-}
-
-// Marks the probes of this object among those of the measuring budget.
-constexpr std::uint64_t kOwnProbes = std::uint64_t{1} << 63;
-
-bool IsOwnProbe(ProbeId probe) {
-  return (probe.value() & kOwnProbes) != 0;
-}
-
-// A target on the same machine answers a probe in milliseconds; one that does
-// not is left to its next heartbeat.
-constexpr Duration kProbeTime = std::chrono::milliseconds(300);
-
 // See NeedsFigures.
 constexpr Duration kFreshFigures = std::chrono::milliseconds(25);
 
@@ -45,56 +25,6 @@
 // disturbance ends half this later than it could be known, in the mean.
 constexpr Duration kSpeedCheckPeriod = std::chrono::milliseconds(50);
 
-// A health endpoint on the same machine answers in one to six milliseconds. A
-// request waits no longer than this for it, and then goes by what is known.
-constexpr Duration kFiguresPatience = std::chrono::milliseconds(20);
-
-// A target that crashed refuses connections at once, and its successor reports
-// within seconds.
-constexpr Duration kCrashNoticedWithin = std::chrono::seconds(5);
-constexpr std::size_t kMaxBroken = 256;
-
-// Announcements closer together than this are one burst, not a period.
-constexpr Duration kShortestAnnouncementPeriod = std::chrono::milliseconds(100);
-
-// Load pattern: a service that all others call sheds or fails for some seconds,
-// and every target of every caller answers with errors. Owners that judge by
-// errors take all targets of all services out, and nothing is served, not even
-// what does not need that service; it goes on after the fault, since each
-// target is tried again only after seconds. Measured in a replay of such a
-// fault of 8 s: 13 s without any answer with it, none without.
-EvidenceThresholds OnlyRefusedConnections() {
-  EvidenceThresholds thresholds;
-  thresholds.sheds = std::numeric_limits<std::uint32_t>::max();
-  thresholds.failed_fraction = std::numeric_limits<double>::infinity();
-  thresholds.trial_results = std::numeric_limits<std::size_t>::max();
-  return thresholds;
-}
-
-// A target that refuses connections is down; a try costs one connection on the
-// same machine.
-constexpr Duration kShortestDowntime = std::chrono::milliseconds(100);
-constexpr Duration kLongestDowntime = std::chrono::milliseconds(500);
-
-// Targets that tell their speed are believed in that; what is left to learn is
-// how they take a crowd.
-std::unique_ptr<ConcurrencyLimit> MakeLimit(const NodeSettings& settings) {
-  if (settings.choosy_attempts > 0)
-    return std::make_unique<KneeLimit>();
-  return std::make_unique<AdaptiveLimit>(AdaptiveLimitSettings());
-}
-
-TargetLifeSettings LifeSettings(const NodeSettings& settings) {
-  TargetLifeSettings life;
-  life.warmup = settings.warmup;
-  if (settings.do_entries_judge_errors) {
-    life.thresholds = OnlyRefusedConnections();
-    life.shortest_suspicion = kShortestDowntime;
-    life.longest_suspicion = kLongestDowntime;
-  }
-  return life;
-}
-
 }  // namespace
 
 OwnerSide::OwnerSide(const NodeSettings& settings,
@@ -106,42 +36,18 @@
       m_quarantine(quarantine),
       m_metrics(metrics),
       m_actions(actions),
-      m_life(LifeSettings(settings)),
-      m_admission(AdmissionSettings(), MakeLimit(settings)),
+      m_life(LifeSettingsOf(settings)),
+      m_admission(AdmissionSettings(), MakeConcurrencyLimit(settings)),
+      m_inquiry(routes, actions),
       m_needs_crash(settings.needs_crash_to_suspect) {}
 
-AdmittedWork OwnerSide::AdmittedAs(const Work& work) {
-  return {work.head.fingerprint, work.head.is_suspect};
-}
-
-// One line a request, with the id under which its entry logs it as well.
-void OwnerSide::LogWork(TimePoint now,
-                        const Work& work,
+void OwnerSide::NoteEnd(TimePoint now,
+                        const OwnedWork& work,
                         std::string_view result) const {
-  LogLine line(LogLevel::kInfo, "work.ended");
-  line.Add("request_id", work.head.request_id)
-      .Add("entry", ToHex(work.head.entry))
-      .Add("kind", work.head.kind)
-      .Add("result", result)
-      .Add("status", work.status)
-      .Add("handed_over", work.is_handed_over);
-  const TimePoint waited_until = work.is_handed_over ? work.started_at : now;
-  line.Add("wait_ms", Milliseconds(waited_until - work.arrived_at));
-  m_metrics.OnWork(result, waited_until - work.arrived_at);
-  if (work.is_handed_over) {
+  LogEndedWork(now, work, result, load(), m_speed);
+  m_metrics.OnWork(result, work.WaitedAt(now));
+  if (work.is_handed_over)
     m_metrics.OnRun(now - work.started_at);
-    line.Add("run_ms", Milliseconds(now - work.started_at))
-        .Add("running_at_start", work.running_at_start)
-        .Add("slowdown_at_start", work.slowdown_at_start)
-        .Add("slowdown_age_ms", Milliseconds(work.slowdown_age));
-  }
-  const LoadReport now_load = load();
-  line.Add("slowdown", m_speed.slowdown())
-      .Add("told_ms_ago", Milliseconds(m_speed.AgeAt(now)))
-      .Add("running", now_load.in_flight)
-      .Add("queued", now_load.queued)
-      .Add("limit", now_load.limit)
-      .Add("left_ms", Milliseconds(work.deadline - now));
 }
 
 void OwnerSide::OnWorkArrived(TimePoint now, const WorkArrived& event) {
@@ -150,12 +56,12 @@
   if (m_works.contains(event.work))
     return;
   const Reason reason = ReasonToRefuse(now, event.head);
-  Work work;
+  OwnedWork work;
   work.head = event.head;
   work.arrived_at = now;
   work.deadline = now + event.head.time_left;
   if (reason != Reason::kNone) {
-    LogWork(now, work, TraitsOf(reason).token);
+    NoteEnd(now, work, TraitsOf(reason).token);
     Refuse(event.work, reason);
     return;
   }
@@ -170,23 +76,19 @@
 // A word that is older than this is not started by: of changes that come twice
 // a second, one in forty falls into it. It bounds the probes of a target to
 // forty a second, however many requests come.
-bool OwnerSide::NeedsFigures(TimePoint now, const Work& work) const {
+bool OwnerSide::NeedsFigures(TimePoint now, const OwnedWork& work) const {
   return work.head.max_slowdown > 0 && m_speed.is_told() && m_gate.current() &&
          m_speed.AgeAt(now) > kFreshFigures;
 }
 
 void OwnerSide::HoldForFigures(TimePoint now, WorkId id) {
-  m_held.push_back(id);
-  if (m_speed_probe)
-    return;
-  m_speed_probe = SendOwnProbe(now, *m_gate.current(), kFiguresPatience);
-  if (!m_speed_probe)
+  m_inquiry.Hold(id);
+  if (!m_inquiry.AskSpeed(now, *m_gate.current()))
     ReleaseHeld(now);
 }
 
 void OwnerSide::ReleaseHeld(TimePoint now) {
-  m_speed_probe.reset();
-  for (const WorkId id : std::exchange(m_held, {})) {
+  for (const WorkId id : m_inquiry.Release()) {
     const auto found = m_works.find(id);
     // Cancelled meanwhile.
     if (found == m_works.end())
@@ -201,7 +103,7 @@
 }
 
 void OwnerSide::Admit(TimePoint now, WorkId id) {
-  const Work& work = m_works.at(id);
+  const OwnedWork& work = m_works.at(id);
   const WorkHead& head = work.head;
   if (head.max_slowdown > 0 &&
       EstimateSlowdown(Conditions()) > head.max_slowdown) {
@@ -222,9 +124,9 @@
 }
 
 void OwnerSide::RefuseAdmitted(TimePoint now, WorkId id, Reason reason) {
-  const std::optional<Work> work = Take(id);
-  LogWork(now, *work, TraitsOf(reason).token);
-  m_quarantine.OnWorkEnded(AdmittedAs(*work));
+  const std::optional<OwnedWork> work = Take(id);
+  NoteEnd(now, *work, TraitsOf(reason).token);
+  m_quarantine.OnWorkEnded(work->admitted());
   Refuse(id, reason);
 }
 
@@ -236,14 +138,13 @@
 // While works wait for the target to be undisturbed, its answers are few and
 // tell late: so it is asked.
 void OwnerSide::AskSpeedWhileHolding(TimePoint now) {
-  if (m_speed_probe || now < NextSpeedCheck())
-    return;
-  m_speed_probe = SendOwnProbe(now, *m_gate.current(), kFiguresPatience);
+  if (now >= NextSpeedCheck())
+    m_inquiry.AskSpeed(now, *m_gate.current());
 }
 
 TimePoint OwnerSide::NextSpeedCheck() const {
   const bool is_waiting = m_admission.is_holding() && m_gate.current() &&
-                          m_speed.is_told() && !m_speed_probe;
+                          m_speed.is_told() && !m_inquiry.IsAskingSpeed();
   return is_waiting ? m_speed.told_at() + kSpeedCheckPeriod : TimePoint::max();
 }
 
@@ -264,13 +165,13 @@
 }
 
 void OwnerSide::OnWorkCancelled(TimePoint now, WorkId id) {
-  const std::optional<Work> work = Take(id);
+  const std::optional<OwnedWork> work = Take(id);
   if (!work)
     return;
-  LogWork(now, *work, "cancelled");
+  NoteEnd(now, *work, "cancelled");
   if (work->is_handed_over)
     m_actions.Push(CancelWork{id});
-  m_quarantine.OnWorkEnded(AdmittedAs(*work));
+  m_quarantine.OnWorkEnded(work->admitted());
   Apply(now, m_admission.OnCancelled(now, id));
 }
 
@@ -305,21 +206,21 @@
   // Nothing of an answer that has not begun is with the entry.
   if (found == m_works.end() || !found->second.is_answer_begun)
     return;
-  const std::optional<Work> work = Take(id);
-  LogWork(now, *work, "answered");
+  const std::optional<OwnedWork> work = Take(id);
+  NoteEnd(now, *work, "answered");
   const bool is_error = work->status >= kFirstServerError;
   m_life.OnReal(now, is_error ? RealResult::kError : RealResult::kAnswered,
                 work->head.customer);
-  m_quarantine.OnWorkEnded(AdmittedAs(*work));
+  m_quarantine.OnWorkEnded(work->admitted());
   Apply(now, m_admission.OnEnded(now, id, WorkEnd::kAnswered));
 }
 
 void OwnerSide::OnExchangeFailed(TimePoint now,
                                  const TargetExchangeFailed& event) {
-  const std::optional<Work> work = TakeHandedOver(event.work);
+  const std::optional<OwnedWork> work = TakeHandedOver(event.work);
   if (!work)
     return;
-  LogWork(now, *work, TraitsOf(Reason::kTargetLost).token);
+  NoteEnd(now, *work, TraitsOf(Reason::kTargetLost).token);
   m_life.OnReal(now, RealResult::kBrokenOff, work->head.customer);
   NoteBroken(now, *work);
   m_actions.Push(FailWork{event.work, Reason::kTargetLost, load()});
@@ -332,14 +233,9 @@
 }
 
 void OwnerSide::OnAnnounced(TimePoint now, const TargetAnnounced& event) {
-  if (m_announced && m_announced->incarnation == event.incarnation) {
-    const Duration since = now - m_last_announcement;
-    if (since >= kShortestAnnouncementPeriod)
-      m_announcement_period = since;
-  } else {
-    m_announcement_period.reset();
-  }
-  m_last_announcement = now;
+  const bool is_same =
+      m_announced && m_announced->incarnation == event.incarnation;
+  m_announcements.OnAnnounced(now, is_same);
   m_life.OnAnnounced(
       now, TargetAnnouncement{event.service, event.slots, event.incarnation,
                               event.cold_time_left});
@@ -373,11 +269,11 @@
 }
 
 bool OwnerSide::OnOwnProbe(TimePoint now, const ProbeAnswered& event) {
-  if (!IsOwnProbe(event.probe))
+  if (!TargetInquiry::IsOwn(event.probe))
     return false;
   if (event.figures)
     TakeFigures(now, *event.figures);
-  if (event.probe == m_speed_probe) {
+  if (m_inquiry.IsSpeedProbe(event.probe)) {
     ReleaseHeld(now);
     return true;
   }
@@ -389,9 +285,9 @@
 }
 
 bool OwnerSide::OnOwnProbe(TimePoint now, const ProbeFailed& event) {
-  if (!IsOwnProbe(event.probe))
+  if (!TargetInquiry::IsOwn(event.probe))
     return false;
-  if (event.probe == m_speed_probe) {
+  if (m_inquiry.IsSpeedProbe(event.probe)) {
     ReleaseHeld(now);
     return true;
   }
@@ -402,7 +298,7 @@
 
 void OwnerSide::OnRoutesChanged(TimePoint now) {
   if (m_gate.candidate())
-    ProbeCandidate(now);
+    m_inquiry.AskHealth(now, *m_gate.candidate());
 }
 
 void OwnerSide::Obey(TimePoint now, GateVerdict verdict) {
@@ -410,7 +306,7 @@
     case GateVerdict::kNone:
       return;
     case GateVerdict::kProbe:
-      ProbeCandidate(now);
+      m_inquiry.AskHealth(now, *m_gate.candidate());
       return;
     case GateVerdict::kOpen:
       OpenGate(now);
@@ -449,54 +345,21 @@
   OnAnnounced(now, announced);
 }
 
-// Symptom without a path: the probe would ask for a page that the target does
-// not have, and a sound target would look unhealthy until its next heartbeat.
-void OwnerSide::ProbeCandidate(TimePoint now) {
-  SendOwnProbe(now, *m_gate.candidate(), kProbeTime);
-}
-
-std::optional<ProbeId> OwnerSide::SendOwnProbe(TimePoint now,
-                                               const TargetHeartbeat& target,
-                                               Duration patience) {
-  const ServiceProfile* const profile = m_routes.FindService(target.service);
-  if (!profile)
-    return std::nullopt;
-  SendProbe probe;
-  probe.probe = ProbeId(kOwnProbes | ++m_last_probe);
-  probe.endpoint = target.endpoint;
-  probe.path = profile->health_path;
-  probe.valid_until = now + patience;
-  probe.gives_up_at = now + patience;
-  const ProbeId id = probe.probe;
-  m_actions.Push(std::move(probe));
-  return id;
-}
-
 // Without the wait for a crash, each request that breaks off is suspect at
 // once: what its entry and others do in the meantime could take down the next
 // target. One that is innocent is cleared when it finishes alone.
-void OwnerSide::NoteBroken(TimePoint now, const Work& work) {
-  const AdmittedWork broken = AdmittedAs(work);
+void OwnerSide::NoteBroken(TimePoint now, const OwnedWork& work) {
+  const AdmittedWork broken = work.admitted();
   if (!m_needs_crash) {
     m_quarantine.OnTargetCrashed(now, {broken});
     return;
   }
   m_quarantine.OnWorkEnded(broken);
-  std::erase_if(m_broken, [now](const BrokenWork& old) {
-    return now - old.at > kCrashNoticedWithin;
-  });
-  if (m_broken.size() >= kMaxBroken)
-    m_broken.pop_front();
-  m_broken.push_back({now, broken});
+  m_broken.Note(now, broken);
 }
 
 void OwnerSide::AccuseBroken(TimePoint now) {
-  std::vector<AdmittedWork> accused;
-  for (const BrokenWork& broken : m_broken) {
-    if (now - broken.at <= kCrashNoticedWithin)
-      accused.push_back(broken.work);
-  }
-  m_broken.clear();
+  const std::vector<AdmittedWork> accused = m_broken.TakeRecent(now);
   if (accused.empty())
     return;
   LogLine(LogLevel::kWarning, "target.crash_suspects")
@@ -522,8 +385,8 @@
   TimePoint next = std::min(m_life.NextWakeup(), NextSpeedCheck());
   if (const auto wakeup = m_admission.NextWakeup())
     next = std::min(next, *wakeup);
-  if (m_announcement_period && m_life.state() != TargetState::kGone)
-    next = std::min(next, m_last_announcement + 2 * *m_announcement_period);
+  if (m_life.state() != TargetState::kGone)
+    next = std::min(next, m_announcements.NextCheck());
   return next;
 }
 
@@ -552,14 +415,14 @@
 
 void OwnerSide::Apply(TimePoint now, const AdmissionOutput& output) {
   for (const AdmissionRefusal& refusal : output.refuse) {
-    if (const std::optional<Work> work = Take(refusal.work)) {
-      LogWork(now, *work, TraitsOf(refusal.reason).token);
-      m_quarantine.OnWorkEnded(AdmittedAs(*work));
+    if (const std::optional<OwnedWork> work = Take(refusal.work)) {
+      NoteEnd(now, *work, TraitsOf(refusal.reason).token);
+      m_quarantine.OnWorkEnded(work->admitted());
     }
     Refuse(refusal.work, refusal.reason);
   }
   for (const WorkId id : output.start) {
-    Work& work = m_works.at(id);
+    OwnedWork& work = m_works.at(id);
     work.is_handed_over = true;
     work.started_at = now;
     work.running_at_start = load().in_flight;
@@ -577,28 +440,28 @@
                           WorkId id,
                           Reason reason,
                           RealResult result) {
-  const std::optional<Work> work = TakeHandedOver(id);
+  const std::optional<OwnedWork> work = TakeHandedOver(id);
   if (!work)
     return;
-  LogWork(now, *work, TraitsOf(reason).token);
+  NoteEnd(now, *work, TraitsOf(reason).token);
   m_life.OnReal(now, result, work->head.customer);
-  m_quarantine.OnWorkEnded(AdmittedAs(*work));
+  m_quarantine.OnWorkEnded(work->admitted());
   AdmissionOutput output = m_admission.OnEnded(now, id, WorkEnd::kNotRun);
   Refuse(id, reason);
   Apply(now, output);
   SyncAdmission(now);
 }
 
-std::optional<OwnerSide::Work> OwnerSide::Take(WorkId id) {
+std::optional<OwnedWork> OwnerSide::Take(WorkId id) {
   const auto found = m_works.find(id);
   if (found == m_works.end())
     return std::nullopt;
-  Work work = std::move(found->second);
+  OwnedWork work = std::move(found->second);
   m_works.erase(found);
   return work;
 }
 
-std::optional<OwnerSide::Work> OwnerSide::TakeHandedOver(WorkId id) {
+std::optional<OwnedWork> OwnerSide::TakeHandedOver(WorkId id) {
   const auto found = m_works.find(id);
   if (found == m_works.end() || !found->second.is_handed_over)
     return std::nullopt;
@@ -621,14 +484,9 @@
 }
 
 void OwnerSide::CheckAnnouncements(TimePoint now) {
-  if (!m_announcement_period || m_life.state() == TargetState::kGone)
-    return;
-  while (now >= m_last_announcement + 2 * *m_announcement_period) {
+  while (m_life.state() != TargetState::kGone &&
+         m_announcements.TakeMissed(now))
     m_life.OnAnnouncementMissed(now);
-    m_last_announcement += *m_announcement_period;
-    if (m_life.state() == TargetState::kGone)
-      return;
-  }
 }
 
 void OwnerSide::SyncAdmission(TimePoint now) {
--- a/source/core/node_logic/owner_side.h
+++ b/source/core/node_logic/owner_side.h
@@ -6,11 +6,9 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <optional>
 #include <string_view>
 #include <unordered_map>
-#include <vector>
 
 #include "core/admission/admission.h"
 #include "core/admission/start_estimate.h"
@@ -18,8 +16,12 @@
 #include "core/common/ids.h"
 #include "core/common/time.h"
 #include "core/node_logic/actions.h"
+#include "core/node_logic/announcement_watch.h"
+#include "core/node_logic/broken_exchanges.h"
 #include "core/node_logic/events.h"
 #include "core/node_logic/node_settings.h"
+#include "core/node_logic/owned_work.h"
+#include "core/node_logic/target_inquiry.h"
 #include "core/pipeline/dispatcher.h"
 #include "core/quarantine/quarantine.h"
 #include "core/reporting/traffic_metrics.h"
@@ -72,29 +74,8 @@
   std::size_t size() const { return m_works.size(); }
 
  private:
-  struct Work {
-    WorkHead head;
-    TimePoint arrived_at;
-    TimePoint deadline;
-    // From here on the target may run it.
-    bool is_handed_over = false;
-    bool is_answer_begun = false;
-    int status = 0;
-    // As of the hand-over, for the log.
-    TimePoint started_at;
-    std::uint32_t running_at_start = 0;
-    double slowdown_at_start = 1.0;
-    Duration slowdown_age{};
-  };
-
-  // An exchange that broke off, while nobody knows whether the target is down.
-  struct BrokenWork {
-    TimePoint at;
-    AdmittedWork work;
-  };
-
   // Whether the target's word of its speed is too old to start a request by.
-  bool NeedsFigures(TimePoint now, const Work& work) const;
+  bool NeedsFigures(TimePoint now, const OwnedWork& work) const;
   void HoldForFigures(TimePoint now, WorkId id);
   void ReleaseHeld(TimePoint now);
   // The target's speed is as known as it gets.
@@ -112,25 +93,20 @@
   void Refuse(WorkId work, Reason reason);
   void EndNotRun(TimePoint now, WorkId work, Reason reason, RealResult result);
   // Takes the work out; empty if it has ended already.
-  std::optional<Work> Take(WorkId work);
+  std::optional<OwnedWork> Take(WorkId work);
   // Also empty if the target has not been handed the work. A work that is still
   // queued must stay: the admission will start it.
-  std::optional<Work> TakeHandedOver(WorkId work);
+  std::optional<OwnedWork> TakeHandedOver(WorkId work);
   // Into the log and the metrics.
-  void LogWork(TimePoint now, const Work& work, std::string_view result) const;
+  void NoteEnd(TimePoint now,
+               const OwnedWork& work,
+               std::string_view result) const;
   void NoteCrash(TimePoint now);
   bool IsAnyHandedOver() const;
   void CheckAnnouncements(TimePoint now);
   void Obey(TimePoint now, GateVerdict verdict);
   void OpenGate(TimePoint now);
-  void ProbeCandidate(TimePoint now);
-  // The id of the probe; empty if the target's health path is unknown.
-  std::optional<ProbeId> SendOwnProbe(TimePoint now,
-                                      const TargetHeartbeat& target,
-                                      Duration patience);
-  // How the quarantine knows it.
-  static AdmittedWork AdmittedAs(const Work& work);
-  void NoteBroken(TimePoint now, const Work& work);
+  void NoteBroken(TimePoint now, const OwnedWork& work);
   void AccuseBroken(TimePoint now);
   void SyncAdmission(TimePoint now);
 
@@ -140,7 +116,7 @@
   ActionSink& m_actions;
   TargetLife m_life;
   Admission m_admission;
-  std::unordered_map<WorkId, Work> m_works;
+  std::unordered_map<WorkId, OwnedWork> m_works;
   std::optional<Endpoint> m_endpoint;
   std::optional<TargetAnnounced> m_announced;
   bool m_is_leaving = false;
@@ -148,23 +124,16 @@
   bool m_is_admitting = false;
 
   TargetSpeed m_speed;
-  // Works that wait for the answer to m_speed_probe; empty without one.
-  std::vector<WorkId> m_held;
-  std::optional<ProbeId> m_speed_probe;
+  TargetInquiry m_inquiry;
   TargetGate m_gate;
   // Stands in for the incarnation of targets that are known by an id: one more
   // at each that the gate lets in.
   std::uint64_t m_ordinal = 0;
   InstanceId m_instance;
-  std::uint64_t m_last_probe = 0;
   bool m_needs_crash = false;
-  // Exchanges that broke off of late; newest last.
-  std::deque<BrokenWork> m_broken;
+  BrokenExchanges m_broken;
 
-  // When the announcement last came, and how long after the one before it.
-  // Targets that announce themselves once only have no period.
-  TimePoint m_last_announcement;
-  std::optional<Duration> m_announcement_period;
+  AnnouncementWatch m_announcements;
 };
 
 }  // namespace bulrushmount::detail
