--- a/source/core/store/http_client.cc
+++ b/source/core/store/http_client.cc
@@ -179,6 +179,7 @@
     reply.delivery = HttpDelivery::kAnswered;
     reply.status = m_parser.get().result_int();
     reply.body = std::move(m_parser.get().body());
+    reply.fields = std::move(m_parser.get().base());
     Finish(std::move(reply), keep ? std::move(m_socket) : nullptr);
   }
 
@@ -277,8 +278,10 @@
 void HttpClient::Send(HttpRequest request,
                       Duration timeout,
                       Callback callback) {
-  request.set(boost::beast::http::field::host,
-              ToString(m_pool->settings().server));
+  if (request.count(boost::beast::http::field::host) == 0) {
+    request.set(boost::beast::http::field::host,
+                ToString(m_pool->settings().server));
+  }
   request.prepare_payload();
   m_pool->Add(std::make_shared<detail::HttpExchange>(
       m_pool, std::move(request), timeout, std::move(callback)));
--- a/source/core/store/http_client.h
+++ b/source/core/store/http_client.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
@@ -35,6 +36,7 @@
   HttpDelivery delivery = HttpDelivery::kUnknown;
   // Only with kAnswered.
   unsigned status = 0;
+  boost::beast::http::fields fields;
   std::string body;
 };
 
