--- a/source/core/settings/daemon_settings.cc
+++ b/source/core/settings/daemon_settings.cc
@@ -74,6 +74,8 @@
   if (endpoint.has_value() && !has_token && !AddressOf(*endpoint).is_loopback())
     faults.Add(operators->position,
                "without operator_token_file it must be a loopback address");
+  if (const YamlNode* const forwarder = map.Optional("advertised_stream"))
+    ReadAdvertised(forwarder, addresses.advertised_stream.emplace(), faults);
   addresses.metrics = ReadEndpoint(map.Optional("metrics"), faults);
   addresses.readiness = ReadEndpoint(map.Optional("readiness"), faults);
   CheckDistinct(addresses, node->position, faults);
@@ -231,7 +233,8 @@
       ReadName(map.Required("availability_zone"), faults).value_or(""));
   settings.node.region =
       Region(ReadName(map.Required("region"), faults).value_or(""));
-  settings.node.stream_endpoint = settings.addresses.stream;
+  settings.node.stream_endpoint =
+      settings.addresses.advertised_stream.value_or(settings.addresses.stream);
   settings.node.gossip_endpoint = settings.addresses.gossip;
   map.Finish();
   return settings;
--- a/source/core/settings/daemon_settings.h
+++ b/source/core/settings/daemon_settings.h
@@ -27,6 +27,9 @@
   // never a wildcard.
   Endpoint stream;
   Endpoint gossip;
+  // Where other nodes reach `stream`, if a forwarder stands before it; empty:
+  // at `stream` itself.
+  std::optional<Endpoint> advertised_stream;
   // Announcements of the target beside the node.
   Endpoint target;
   // Operators: contracts, status, metrics.
--- a/source/process_tests/cuttable_relay.cc
+++ b/source/stand_ins/cuttable_relay.cc
@@ -1,7 +1,7 @@
 // Two pumps a connection, one for each direction; a stalled pump holds what it
 // has read and reads no more.
 
-#include "process_tests/cuttable_relay.h"
+#include "stand_ins/cuttable_relay.h"
 
 #include <array>
 #include <cstddef>
@@ -14,6 +14,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 namespace bulrushmount {
@@ -26,7 +27,8 @@
 namespace {
 
 struct Pump {
-  Pump(Socket& source, Socket& sink) : from(&source), to(&sink) {}
+  Pump(Socket& source, Socket& sink, bool is_down, asio::io_context& io)
+      : from(&source), to(&sink), is_from_server(is_down), delay(io) {}
 
   Socket* from;
   Socket* to;
@@ -34,6 +36,8 @@
   std::size_t length = 0;
   // Holds bytes that wait for the link to open.
   bool is_held = false;
+  bool is_from_server;
+  asio::steady_timer delay;
 };
 
 }  // namespace
@@ -44,8 +48,8 @@
       : m_client(std::move(client)),
         m_server(io),
         m_state(state),
-        m_up(m_client, m_server),
-        m_down(m_server, m_client) {}
+        m_up(m_client, m_server, false, io),
+        m_down(m_server, m_client, true, io) {}
 
   void Start(const Endpoint& server) {
     m_server.async_connect({asio::ip::make_address(server.ip), server.port},
@@ -61,7 +65,7 @@
 
   void Resume() {
     for (Pump* const pump : {&m_up, &m_down}) {
-      if (std::exchange(pump->is_held, false)) {
+      if (!IsStalled(*pump) && std::exchange(pump->is_held, false)) {
         Write(*pump);
       }
     }
@@ -96,11 +100,20 @@
       Reset();
       return;
     }
-    if (m_state == LinkState::kStalled) {
+    if (IsStalled(pump)) {
       pump.is_held = true;
-      return;
+    } else if (m_state == LinkState::kSlow) {
+      pump.delay.expires_after(CuttableRelay::kDelay);
+      pump.delay.async_wait([self = shared_from_this(),
+                             &pump](const error_code&) { self->Write(pump); });
+    } else {
+      Write(pump);
     }
-    Write(pump);
+  }
+
+  bool IsStalled(const Pump& pump) const {
+    return m_state == LinkState::kStalled ||
+           (m_state == LinkState::kStalledDown && pump.is_from_server);
   }
 
   void Write(Pump& pump) {
@@ -158,7 +171,7 @@
       }
       if (state == LinkState::kCut) {
         connection->Reset();
-      } else if (state == LinkState::kOpen) {
+      } else {
         connection->Resume();
       }
     }
--- a/source/process_tests/cuttable_relay.h
+++ b/source/stand_ins/cuttable_relay.h
@@ -1,8 +1,9 @@
-// A TCP relay between two processes whose link a test can cut or stall.
+// A TCP relay between two processes whose link a test can cut, stall or slow.
 
-#ifndef BULRUSHMOUNT_PROCESS_TESTS_CUTTABLE_RELAY_H_
-#define BULRUSHMOUNT_PROCESS_TESTS_CUTTABLE_RELAY_H_
+#ifndef BULRUSHMOUNT_STAND_INS_CUTTABLE_RELAY_H_
+#define BULRUSHMOUNT_STAND_INS_CUTTABLE_RELAY_H_
 
+#include <chrono>
 #include <memory>
 
 #include "core/common/endpoint.h"
@@ -16,6 +17,10 @@
   // Connections stay and are accepted, but no byte gets through: packets are
   // lost without anyone being told.
   kStalled,
+  // The same for what the server sends only.
+  kStalledDown,
+  // Each piece comes late.
+  kSlow,
 };
 
 namespace detail {
@@ -32,7 +37,10 @@
   CuttableRelay(const CuttableRelay&) = delete;
   CuttableRelay& operator=(const CuttableRelay&) = delete;
 
-  // In force when it returns. From kStalled to kOpen, held bytes flow on.
+  // How late pieces come in kSlow.
+  static constexpr std::chrono::milliseconds kDelay{120};
+
+  // In force when it returns. Bytes held by a stall flow on when it is over.
   void Set(LinkState state);
 
  private:
@@ -41,4 +49,4 @@
 
 }  // namespace bulrushmount
 
-#endif  // BULRUSHMOUNT_PROCESS_TESTS_CUTTABLE_RELAY_H_
+#endif  // BULRUSHMOUNT_STAND_INS_CUTTABLE_RELAY_H_
--- a/source/unit_tests/core/settings/daemon_settings_test.cc
+++ b/source/unit_tests/core/settings/daemon_settings_test.cc
@@ -54,6 +54,14 @@
   EXPECT_EQ(node.min_progress_time, other.min_progress_time);
 }
 
+TEST(DaemonSettingsTest, OthersAreToldOfTheForwarder) {
+  std::string text = kMinimal;
+  text.insert(text.find("  gossip:"), "  advertised_stream: 127.0.0.9:2\n");
+  const DaemonSettings settings = *TryParseDaemonSettings(text).settings;
+  EXPECT_EQ(settings.node.stream_endpoint, (Endpoint{"127.0.0.9", 2}));
+  EXPECT_EQ(settings.addresses.stream, (Endpoint{"127.0.0.1", 2}));
+}
+
 TEST(DaemonSettingsTest, FillsInTheNode) {
   const DaemonSettings settings = *TryParseDaemonSettings(kMinimal).settings;
   EXPECT_EQ(settings.node.stream_endpoint, (Endpoint{"127.0.0.1", 2}));
