Add a fault soak of real nodes

Change: source/soak draws a schedule from a seed (18 kinds of fault, single and in series), plays it on a fleet of the platform's program with relays on every link, and judges by the ledgers of clients and servers alone: whole own answers, no booking twice, refused means never run, drained in time, routes never back in a process, an answer to every call, the fleet whole again at the end. Children of tests inherit no sockets any more: a restarted node held the listeners of servers that were closed.

--- /dev/null
+++ b/source/soak/fault_schedule.cc
@@ -0,0 +1,172 @@
+// Part of `fault_schedule.h`.
+
+#include "soak/fault_schedule.h"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cmath>
+
+#include <fmt/format.h>
+
+#include "core/common/random.h"
+
+namespace bulrushmount::soak {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// One fault, or one series, in this time for each node: a fleet of ten has
+// several faults at any moment.
+constexpr Duration kMeanGapPerNode = std::chrono::seconds(8);
+constexpr double kSeriesFraction = 0.3;
+constexpr std::size_t kLongestSeries = 4;
+constexpr Duration kSeriesGap = milliseconds(700);
+// Around the time in which a node that is silent is taken for dead (2 s), on
+// both sides of it.
+constexpr Duration kShortest = milliseconds(100);
+constexpr Duration kLongest = milliseconds(4000);
+// Shorter than a client's patience, or its wait would be the fault's doing.
+constexpr Duration kLongestFreeze = milliseconds(2500);
+constexpr double kStoreForAllFraction = 0.4;
+
+// One fault in four is the operator's: a fleet changes more often than it
+// fails.
+constexpr double kMoveRoutesFraction = 0.25;
+
+constexpr std::array kKinds = {FaultKind::kKillNode,
+                               FaultKind::kFreezeNode,
+                               FaultKind::kTerminateNode,
+                               FaultKind::kReloadNode,
+                               FaultKind::kCrashServer,
+                               FaultKind::kHangServer,
+                               FaultKind::kDrainServer,
+                               FaultKind::kBreakAnswers,
+                               FaultKind::kStoreDown,
+                               FaultKind::kStoreSilent,
+                               FaultKind::kStoreSlow,
+                               FaultKind::kStoreLosesAnswers,
+                               FaultKind::kStoreForgetsHistory,
+                               FaultKind::kCutLink,
+                               FaultKind::kStallLink,
+                               FaultKind::kStallLinkDown,
+                               FaultKind::kSlowLink};
+
+constexpr std::array kLinks = {platform::Link::kStore, platform::Link::kServer,
+                               platform::Link::kStream};
+
+Duration Between(SeededRandomSource& random, Duration least, Duration most) {
+  return least + FromSeconds(ToSeconds(most - least) * random.Fraction());
+}
+
+Fault DrawFault(SeededRandomSource& random, std::size_t nodes) {
+  Fault fault;
+  fault.kind = random.Fraction() < kMoveRoutesFraction
+                   ? FaultKind::kMoveRoutes
+                   : kKinds.at(random.Index(kKinds.size()));
+  fault.node = random.Index(nodes);
+  fault.link = kLinks.at(random.Index(kLinks.size()));
+  fault.is_for_all = random.Fraction() < kStoreForAllFraction;
+  fault.lasts =
+      Between(random, kShortest,
+              fault.kind == FaultKind::kFreezeNode ? kLongestFreeze : kLongest);
+  return fault;
+}
+
+const char* ToText(platform::Link link) {
+  switch (link) {
+    case platform::Link::kStore:
+      return "store";
+    case platform::Link::kServer:
+      return "server";
+    case platform::Link::kStream:
+      return "stream";
+  }
+  return "";
+}
+
+}  // namespace
+
+std::vector<Fault> DrawSchedule(std::uint64_t seed,
+                                Duration length,
+                                std::size_t nodes) {
+  SeededRandomSource random(seed);
+  const double mean_gap =
+      ToSeconds(kMeanGapPerNode) / static_cast<double>(nodes);
+  std::vector<Fault> faults;
+  Duration at{};
+  for (;;) {
+    at += FromSeconds(-mean_gap * std::log(1 - random.Fraction()));
+    if (at >= length)
+      break;
+    Fault fault = DrawFault(random, nodes);
+    const bool is_series = random.Fraction() < kSeriesFraction;
+    const std::size_t count =
+        is_series ? 2 + random.Index(kLongestSeries - 1) : 1;
+    Duration begins = at;
+    for (std::size_t number = 0; number < count; ++number) {
+      fault.at = begins;
+      faults.push_back(fault);
+      begins += Between(random, milliseconds(1), 2 * kSeriesGap);
+      // Half of a series stays where it began.
+      if (random.Fraction() < 0.5)
+        fault.node = random.Index(nodes);
+    }
+  }
+  std::stable_sort(
+      faults.begin(), faults.end(),
+      [](const Fault& one, const Fault& other) { return one.at < other.at; });
+  return faults;
+}
+
+std::string ToText(FaultKind kind) {
+  switch (kind) {
+    case FaultKind::kKillNode:
+      return "kill-node";
+    case FaultKind::kFreezeNode:
+      return "freeze-node";
+    case FaultKind::kTerminateNode:
+      return "terminate-node";
+    case FaultKind::kReloadNode:
+      return "reload-node";
+    case FaultKind::kCrashServer:
+      return "crash-server";
+    case FaultKind::kHangServer:
+      return "hang-server";
+    case FaultKind::kDrainServer:
+      return "drain-server";
+    case FaultKind::kBreakAnswers:
+      return "break-answers";
+    case FaultKind::kStoreDown:
+      return "store-down";
+    case FaultKind::kStoreSilent:
+      return "store-silent";
+    case FaultKind::kStoreSlow:
+      return "store-slow";
+    case FaultKind::kStoreLosesAnswers:
+      return "store-loses-answers";
+    case FaultKind::kStoreForgetsHistory:
+      return "store-forgets-history";
+    case FaultKind::kCutLink:
+      return "cut-link";
+    case FaultKind::kStallLink:
+      return "stall-link";
+    case FaultKind::kStallLinkDown:
+      return "stall-link-down";
+    case FaultKind::kSlowLink:
+      return "slow-link";
+    case FaultKind::kMoveRoutes:
+      return "move-routes";
+  }
+  return "";
+}
+
+std::string ToText(const Fault& fault) {
+  return fmt::format("at={:.3f} kind={} node={} link={} for={:.3f} all={}",
+                     ToSeconds(fault.at), ToText(fault.kind), fault.node,
+                     ToText(fault.link), ToSeconds(fault.lasts),
+                     fault.is_for_all);
+}
+
+}  // namespace bulrushmount::soak
--- /dev/null
+++ b/source/soak/verdicts_test.cc
@@ -0,0 +1,103 @@
+// Each promise of the soak is seen broken in a record made by hand.
+
+#include "soak/verdicts.h"
+
+#include <gtest/gtest.h>
+
+namespace bulrushmount::soak {
+namespace {
+
+using platform::ClientVerdict;
+using platform::FinishedCall;
+
+constexpr TimePoint kStart = TimePoint(std::chrono::hours(1));
+
+FinishedCall CallOf(const std::string& id,
+                    const std::string& path,
+                    ClientVerdict verdict,
+                    Duration began = {}) {
+  FinishedCall finished;
+  finished.call.request_id = id;
+  finished.call.path = path;
+  finished.outcome.verdict = verdict;
+  finished.outcome.took = std::chrono::milliseconds(1);
+  finished.began_at = kStart + began;
+  return finished;
+}
+
+struct VerdictCase {
+  const char* name;
+  SoakRecord record;
+  std::size_t broken;
+};
+
+class VerdictTest : public testing::TestWithParam<VerdictCase> {};
+
+TEST_P(VerdictTest, SaysWhatIsBroken) {
+  EXPECT_EQ(FindBroken(GetParam().record).size(), GetParam().broken);
+}
+
+SoakRecord WithRuns(std::vector<FinishedCall> calls,
+                    const std::vector<std::string>& runs) {
+  SoakRecord record;
+  record.calls = std::move(calls);
+  for (const std::string& id : runs)
+    record.runs.push_back({id, "i-1", "booking", "/", kStart});
+  return record;
+}
+
+SoakRecord LateRun(Duration after) {
+  SoakRecord record = WithRuns({}, {"a"});
+  record.drains.push_back({"i-1", kStart - after});
+  return record;
+}
+
+SoakRecord Versions(std::vector<TimePoint> starts) {
+  SoakRecord record =
+      WithRuns({CallOf("a", "/version/3/a", ClientVerdict::kServed),
+                CallOf("b", "/version/3/b", ClientVerdict::kNoRoute,
+                       std::chrono::seconds(1))},
+               {"a"});
+  record.node_starts[0] = std::move(starts);
+  return record;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Records,
+    VerdictTest,
+    testing::Values(
+        VerdictCase{
+            "Served",
+            WithRuns({CallOf("a", "/once/", ClientVerdict::kServed)}, {"a"}),
+            0},
+        VerdictCase{"SafeTwice",
+                    WithRuns({CallOf("a", "/safe/", ClientVerdict::kServed)},
+                             {"a", "a"}),
+                    0},
+        VerdictCase{"BookingTwice",
+                    WithRuns({CallOf("a", "/once/", ClientVerdict::kUnknown)},
+                             {"a", "a"}),
+                    1},
+        VerdictCase{
+            "RefusedAndRun",
+            WithRuns({CallOf("a", "/safe/", ClientVerdict::kRefused)}, {"a"}),
+            1},
+        VerdictCase{
+            "ServedAndNotRun",
+            WithRuns({CallOf("a", "/safe/", ClientVerdict::kServed)}, {}), 1},
+        VerdictCase{
+            "Nothing",
+            WithRuns({CallOf("a", "/safe/", ClientVerdict::kNothing)}, {}), 1},
+        VerdictCase{
+            "Wrong",
+            WithRuns({CallOf("a", "/safe/", ClientVerdict::kWrong)}, {"a"}), 1},
+        VerdictCase{"RunWhileDraining", LateRun(kDrainTime / 2), 0},
+        VerdictCase{"RunAfterDrain", LateRun(2 * kDrainTime), 1},
+        VerdictCase{"RoutesBack", Versions({kStart - std::chrono::hours(1)}),
+                    1},
+        VerdictCase{"NewProcess",
+                    Versions({kStart + std::chrono::milliseconds(500)}), 0}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+}  // namespace
+}  // namespace bulrushmount::soak
--- a/source/stand_ins/child_process.cc
+++ b/source/stand_ins/child_process.cc
@@ -26,12 +26,15 @@
   return ::open(path.c_str(), kLogFlags, 0644);
 }
 
-// In the child, between fork and exec: only async-signal-safe calls.
+// In the child, between fork and exec: only async-signal-safe calls. What goes
+// wrong if it inherits sockets: a listener that the parent closes goes on, and
+// its connections stay open.
 [[noreturn]] void Become(std::vector<char*>& arguments,
                          int stdout_file,
                          int stderr_file) {
   ::dup2(stdout_file, STDOUT_FILENO);
   ::dup2(stderr_file, STDERR_FILENO);
+  ::close_range(STDERR_FILENO + 1, ~0U, 0);
   ::execv(arguments[0], arguments.data());
   ::_exit(127);
 }
