--- a/source/core/admission/ranked_queue.h
+++ b/source/core/admission/ranked_queue.h
@@ -4,13 +4,14 @@
 //
 // Load pattern: a service that others call is short of slots. Short requests
 // that callers wait for with slots of their own, and long ones that nobody
-// waits for, fill it together; in the order of arrival or of objectives the
-// long ones hold most of the time, and each short one that fails takes the work
-// of its caller with it. The operator ranks the short ones first. Served by
-// rank alone, a lower rank would get nothing while a higher one fills all
-// slots; so each rank has twice the share of the next one. In a replay at a
-// third more than nine slots can do, of three ranks apart, 1.96 times as many
-// short ones are answered in time, and a third of the long ones still is.
+// waits for, fill it together; in the order of objectives a short one that is
+// late goes behind all long ones, and takes the work of its caller with it when
+// it fails. The operator ranks the short ones first. Served by rank alone, a
+// lower rank would get nothing while a higher one fills all slots; so each rank
+// has twice the share of the next one. In a replay of a third more than nine
+// slots can do, with two ranks between the kinds, 4,418 of 4,499 short ones are
+// answered before their callers give up (3,581 without ranks), and 347 of 709
+// long ones are in time (488).
 
 #ifndef BULRUSHMOUNT_CORE_ADMISSION_RANKED_QUEUE_H_
 #define BULRUSHMOUNT_CORE_ADMISSION_RANKED_QUEUE_H_
--- a/source/core/node_logic/owned_work.cc
+++ b/source/core/node_logic/owned_work.cc
@@ -27,6 +27,7 @@
   line.Add("request_id", work.head.request_id)
       .Add("entry", ToHex(work.head.entry))
       .Add("kind", work.head.kind)
+      .Add("priority", work.head.priority)
       .Add("result", result)
       .Add("status", work.status)
       .Add("handed_over", work.is_handed_over)
--- a/source/soak/main.cc
+++ b/source/soak/main.cc
@@ -84,7 +84,7 @@
   options.nodes = parsed["nodes"].as<std::size_t>();
   options.is_calm = parsed["calm"].as<bool>();
   options.calls_each = parsed["calls"].as<std::size_t>();
-  options.program = BULRUSHMOUNT_NODE;
+  options.program = parsed["program"].as<std::string>();
   options.settings_template = BULRUSHMOUNT_NODE_TEMPLATE;
   if (parsed.count("logs") > 0)
     options.folder = parsed["logs"].as<std::string>();
@@ -113,6 +113,8 @@
       "calls", "Under way at each node",
       cxxopts::value<std::size_t>()->default_value("3"))("calm", "No faults")(
       "print-schedule", "Only say what would be caused")(
+      "program", "Of the node",
+      cxxopts::value<std::string>()->default_value(BULRUSHMOUNT_NODE))(
       "logs", "A folder that keeps the logs", cxxopts::value<std::string>())(
       "regressions", "A file of seeds to play", cxxopts::value<std::string>());
   return bulrushmount::RunProgram(std::move(options), argc, argv,
--- a/source/soak/soak_run.cc
+++ b/source/soak/soak_run.cc
@@ -43,6 +43,10 @@
 constexpr double kOnceFraction = 0.45;
 constexpr std::size_t kLargeBody = 200'000;
 
+// Between an answer and a client's next request: a few hundred requests a
+// second at each node, so that several soaks share a machine.
+constexpr Duration kThinkTime = std::chrono::milliseconds(10);
+
 // Addresses that no other soak or test on the machine uses.
 std::string IpOf(std::size_t index) {
   const auto pid = static_cast<unsigned>(::getpid());
@@ -76,7 +80,7 @@
   }
   m_fleet->StartCalls(
       [this](std::size_t, platform::ClientCall& call) { MakeCall(call); },
-      m_options.calls_each);
+      m_options.calls_each, kThinkTime);
   const TimePoint began = Now();
   if (!m_options.is_calm) {
     for (const Fault& fault :
