--- a/source/process_tests/stand_ins_test.cc
+++ b/source/process_tests/stand_ins_test.cc
@@ -8,8 +8,8 @@
 
 #include <gtest/gtest.h>
 
-#include "stand_ins/cuttable_relay.h"
 #include "process_tests/process_fixture.h"
+#include "stand_ins/cuttable_relay.h"
 #include "stand_ins/request_digest.h"
 
 namespace bulrushmount {
