End what the adapter serves before the event loop that it uses

The adapter's two servers were members of the protocols, which outlive the event loop; their destructors took sockets out of a service that was gone.

Change: Serve returns what it opened, and the daemon's scope owns it: it ends before the driver and the event loop. The soak's servers take 12 ms, so that about half of all calls are at a server when a fault comes.

--- a/source/core/transport/daemon_protocols.h
+++ b/source/core/transport/daemon_protocols.h
@@ -18,6 +18,13 @@
 
 namespace bulrushmount {
 
+// What a set of protocols serves beside the driver's own sides. Destroyed
+// before the event loop and the driver that it uses.
+class OuterServers {
+ public:
+  virtual ~OuterServers() = default;
+};
+
 class DaemonProtocols {
  public:
   virtual ~DaemonProtocols() = default;
@@ -35,9 +42,11 @@
   // Whether the driver serves the target address with the product's protocol.
   virtual bool has_own_target_server() const = 0;
 
-  // Opens what else is to be served. Both arguments outlive the object. False,
+  // Opens what else is to be served. Both arguments must outlive what is
+  // returned; the protocols outlive them, so they must keep none of it. Null,
   // with the reason logged, if an address cannot be had.
-  virtual bool Serve(boost::asio::io_context& context, NodeDriver& driver) = 0;
+  virtual std::unique_ptr<OuterServers> Serve(boost::asio::io_context& context,
+                                              NodeDriver& driver) = 0;
 };
 
 // docs/PROTOCOLS.md.
@@ -54,7 +63,10 @@
   }
   const RouteDocumentDecoder* route_decoder() const override { return nullptr; }
   bool has_own_target_server() const override { return true; }
-  bool Serve(boost::asio::io_context&, NodeDriver&) override { return true; }
+  std::unique_ptr<OuterServers> Serve(boost::asio::io_context&,
+                                      NodeDriver&) override {
+    return std::make_unique<OuterServers>();
+  }
 
  private:
   DaemonSettings m_settings;
--- a/source/core/transport/node_daemon.cc
+++ b/source/core/transport/node_daemon.cc
@@ -127,9 +127,10 @@
   });
   boost::asio::signal_set signals(context, SIGTERM, SIGINT);
   WaitForSignal(signals, driver);
-  const bool is_open = driver.Start() && protocols.Serve(context, driver) &&
-                       (!settings.addresses.metrics ||
-                        metrics.Listen(*settings.addresses.metrics));
+  const std::unique_ptr<OuterServers> servers =
+      driver.Start() ? protocols.Serve(context, driver) : nullptr;
+  const bool is_open = servers && (!settings.addresses.metrics ||
+                                   metrics.Listen(*settings.addresses.metrics));
   if (is_open)
     context.run();
   FlushLog();
--- a/source/soak/soak_run.cc
+++ b/source/soak/soak_run.cc
@@ -49,6 +49,10 @@
 // second at each node, so that several soaks share a machine.
 constexpr Duration kThinkTime = std::chrono::milliseconds(10);
 
+// As long as clients think: about half of all calls are at a server at any
+// moment, and a fault there meets some.
+constexpr Duration kServiceTime = std::chrono::milliseconds(12);
+
 // Addresses that no other soak or test on the machine uses.
 std::string IpOf(std::size_t index) {
   const auto pid = static_cast<unsigned>(::getpid());
@@ -108,6 +112,7 @@
   plan.settings_template = m_options.settings_template;
   plan.folder = m_options.folder;
   plan.has_relays = true;
+  plan.service_time = kServiceTime;
   for (std::size_t index = 0; index < m_options.nodes; ++index) {
     plan.ips.push_back(IpOf(index));
     plan.services.emplace_back(kServices.at(index % kServices.size()));
