Work on several requests of one connection at once, with answers in order

Cause: a caller's connection read a request only when the one before it was answered.

Change: up to a bound a connection, and one over all connections, requests that may be repeated are handed in ahead of their turn; answers wait for theirs, with a bound on what is kept and back-pressure beyond. Short answers in front of others are gathered, so that a target that breaks one off costs only that request. What may not be repeated waits until all before it is answered. RouteTable finds a route without taking a share's turn.

Replaced test: PipelinedCallsGetTheirOwnAnswersInOrder asked for one connection to the target, which held only because calls followed one another; now it asks for no more than may be in progress, and a second test for exactly one where calls may not be repeated.

--- a/source/core/node_logic/node.cc
+++ b/source/core/node_logic/node.cc
@@ -189,6 +189,17 @@
   return m_decoder ? TimePoint::max() : m_claim_sweeper.NextWakeup();
 }
 
+bool Node::IsRepeatable(const CallHead& head) const {
+  if (m_decoder) {
+    const Route* const route = m_routes.FindRoute(head.host, head.target);
+    return route && route->is_repeatable;
+  }
+  const KindMatchResult match = m_contracts.MatchKind(
+      head.customer, head.service, head.method, head.target);
+  const auto* const matched = std::get_if<MatchedKind>(&match);
+  return matched && matched->kind->is_repeatable;
+}
+
 bool Node::IsReady() const {
   const bool is_configured =
       m_decoder ? m_routes.is_known() : m_contracts.is_known();
--- a/source/core/node_logic/node.h
+++ b/source/core/node_logic/node.h
@@ -44,6 +44,7 @@
 
   std::vector<NodeAction> Handle(TimePoint now, NodeEvent event);
   TimePoint NextWakeup() const;
+  bool IsRepeatable(const CallHead& head) const;
   bool IsReady() const;
 
   std::string StatusJson(TimePoint now) const;
--- a/source/core/node_logic/node_brain.h
+++ b/source/core/node_logic/node_brain.h
@@ -24,6 +24,10 @@
   // change with every event.
   virtual TimePoint NextWakeup() const = 0;
 
+  // Whether running the request twice does no harm, by the configuration in
+  // force; false where that is not known. Changes nothing.
+  virtual bool IsRepeatable(const CallHead& head) const = 0;
+
   // Whether this node takes calls; the `/ready` page.
   virtual bool IsReady() const = 0;
 };
--- a/source/core/node_logic/node_logic.cc
+++ b/source/core/node_logic/node_logic.cc
@@ -29,6 +29,10 @@
   return m_node->NextWakeup();
 }
 
+bool NodeLogic::IsRepeatable(const CallHead& head) const {
+  return m_node->IsRepeatable(head);
+}
+
 bool NodeLogic::IsReady() const {
   return m_node->IsReady();
 }
--- a/source/core/node_logic/node_logic.h
+++ b/source/core/node_logic/node_logic.h
@@ -41,6 +41,7 @@
 
   std::vector<NodeAction> Handle(TimePoint now, NodeEvent event) override;
   TimePoint NextWakeup() const override;
+  bool IsRepeatable(const CallHead& head) const override;
   bool IsReady() const override;
 
   // The `/status` page: what this node knows of the fleet and of itself.
--- a/source/core/routes/route_table.cc
+++ b/source/core/routes/route_table.cc
@@ -20,68 +20,89 @@
 }  // namespace
 
 void RouteTable::Replace(RouteConfig config) {
-  std::unordered_map<std::string, HostRoutes> hosts;
+  std::vector<std::vector<double>> owed;
+  std::unordered_map<std::string, std::vector<std::size_t>> hosts;
   for (std::size_t index = 0; index < config.routes.size(); ++index) {
     const Route& route = config.routes[index];
-    Entry entry{index, std::vector<double>(route.shares.size(), 0.0)};
-    const auto known = m_hosts.find(route.host);
-    if (known != m_hosts.end()) {
-      for (const Entry& before : known->second.entries) {
-        const Route& old = m_config.routes[before.route];
-        if (old.name == route.name && old.shares == route.shares)
-          entry.owed = before.owed;
-      }
-    }
-    hosts[route.host].entries.push_back(std::move(entry));
+    owed.push_back(OwedBefore(route));
+    hosts[route.host].push_back(index);
   }
   for (auto& [host, routes] : hosts) {
-    std::stable_sort(routes.entries.begin(), routes.entries.end(),
-                     [&config](const Entry& left, const Entry& right) {
-                       return config.routes[left.route].path_prefix.size() >
-                              config.routes[right.route].path_prefix.size();
+    std::stable_sort(routes.begin(), routes.end(),
+                     [&config](std::size_t left, std::size_t right) {
+                       return config.routes[left].path_prefix.size() >
+                              config.routes[right].path_prefix.size();
                      });
   }
   m_services.clear();
   for (std::size_t index = 0; index < config.services.size(); ++index)
     m_services.emplace(config.services[index].name, index);
+  m_owed = std::move(owed);
   m_hosts = std::move(hosts);
   m_config = std::move(config);
   m_is_known = true;
 }
 
-std::optional<RouteMatch> RouteTable::Match(std::string_view host,
-                                            std::string_view target) {
+std::vector<double> RouteTable::OwedBefore(const Route& route) const {
+  const auto known = m_hosts.find(route.host);
+  if (known != m_hosts.end()) {
+    for (const std::size_t index : known->second) {
+      const Route& before = m_config.routes[index];
+      if (before.name == route.name && before.shares == route.shares)
+        return m_owed[index];
+    }
+  }
+  return std::vector<double>(route.shares.size(), 0.0);
+}
+
+std::optional<std::size_t> RouteTable::FindIndex(
+    std::string_view host,
+    std::string_view target) const {
   const auto found = m_hosts.find(std::string(WithoutPort(host)));
   if (found == m_hosts.end())
     return std::nullopt;
   const std::string_view path = PathOf(target);
-  for (Entry& entry : found->second.entries) {
-    const Route& route = m_config.routes[entry.route];
-    if (!path.starts_with(route.path_prefix))
-      continue;
-    return RouteMatch{&route, &route.shares[NextShare(entry)].service};
+  for (const std::size_t index : found->second) {
+    if (path.starts_with(m_config.routes[index].path_prefix))
+      return index;
   }
   return std::nullopt;
 }
 
+const Route* RouteTable::FindRoute(std::string_view host,
+                                   std::string_view target) const {
+  const std::optional<std::size_t> index = FindIndex(host, target);
+  return index ? &m_config.routes[*index] : nullptr;
+}
+
+std::optional<RouteMatch> RouteTable::Match(std::string_view host,
+                                            std::string_view target) {
+  const std::optional<std::size_t> index = FindIndex(host, target);
+  if (!index)
+    return std::nullopt;
+  const Route& route = m_config.routes[*index];
+  return RouteMatch{&route, &route.shares[NextShare(*index)].service};
+}
+
 const ServiceProfile* RouteTable::FindService(const ServiceName& name) const {
   const auto found = m_services.find(name);
   return found == m_services.end() ? nullptr
                                    : &m_config.services[found->second];
 }
 
-std::size_t RouteTable::NextShare(Entry& entry) const {
-  const std::vector<RouteShare>& shares = m_config.routes[entry.route].shares;
+std::size_t RouteTable::NextShare(std::size_t route) {
+  const std::vector<RouteShare>& shares = m_config.routes[route].shares;
   if (shares.size() == 1)
     return 0;
+  std::vector<double>& owed = m_owed[route];
   double total = 0;
   for (std::size_t index = 0; index < shares.size(); ++index) {
-    entry.owed[index] += shares[index].weight;
+    owed[index] += shares[index].weight;
     total += shares[index].weight;
   }
-  const auto most = std::max_element(entry.owed.begin(), entry.owed.end());
+  const auto most = std::max_element(owed.begin(), owed.end());
   *most -= total;
-  return static_cast<std::size_t>(most - entry.owed.begin());
+  return static_cast<std::size_t>(most - owed.begin());
 }
 
 }  // namespace bulrushmount
--- a/source/core/routes/route_table.h
+++ b/source/core/routes/route_table.h
@@ -32,8 +32,12 @@
   bool is_known() const { return m_is_known; }
   const RouteConfig& config() const { return m_config; }
 
-  // `host` without a port, `target` with or without a query. Empty if no route
-  // takes the request. The pointers hold until the next Replace.
+  // The route that takes the request; null if none does. `host` with or without
+  // a port, `target` with or without a query. Holds until the next Replace.
+  const Route* FindRoute(std::string_view host, std::string_view target) const;
+
+  // The same, and the service whose turn it is. Empty if no route takes the
+  // request. The pointers hold until the next Replace.
   //
   // Shares take turns (smooth weighted round robin) rather than be drawn: over
   // 300 requests at 90:10 a draw is off by 1.7 in 100 in the mean, a turn by
@@ -45,23 +49,19 @@
   const ServiceProfile* FindService(const ServiceName& name) const;
 
  private:
-  struct Entry {
-    std::size_t route = 0;
-    // How much each share of the route is owed; sums to 0.
-    std::vector<double> owed;
-  };
-
-  struct HostRoutes {
-    // Longest prefix first.
-    std::vector<Entry> entries;
-  };
-
-  std::size_t NextShare(Entry& entry) const;
+  // What the shares of the same route are owed now; nothing for a new one.
+  std::vector<double> OwedBefore(const Route& route) const;
+  // Of the route that takes the request, in m_config.
+  std::optional<std::size_t> FindIndex(std::string_view host,
+                                       std::string_view target) const;
+  std::size_t NextShare(std::size_t route);
 
   bool m_is_known = false;
   RouteConfig m_config;
-  // Into m_config.
-  std::unordered_map<std::string, HostRoutes> m_hosts;
+  // For each route of m_config how much each of its shares is owed; sums to 0.
+  std::vector<std::vector<double>> m_owed;
+  // Into m_config: the routes of a host, the longest prefix first.
+  std::unordered_map<std::string, std::vector<std::size_t>> m_hosts;
   std::unordered_map<ServiceName, std::size_t> m_services;
 };
 
--- a/source/core/settings/daemon_settings.cc
+++ b/source/core/settings/daemon_settings.cc
@@ -110,6 +110,10 @@
       transport.max_buffered_body_bytes);
   Assign(ReadCount(map.Optional("max_caller_connections"), 1, 65'536, faults),
          transport.max_caller_connections);
+  Assign(ReadCount(map.Optional("max_pipelined_requests"), 1, 256, faults),
+         transport.max_pipelined_requests);
+  Assign(ReadCount(map.Optional("max_read_ahead"), 0, 65'536, faults),
+         transport.max_read_ahead);
   Assign(ReadDuration(map.Optional("min_progress_time"), {seconds(1), hours(1)},
                       faults),
          settings.node.min_progress_time);
--- a/source/core/settings/daemon_settings.h
+++ b/source/core/settings/daemon_settings.h
@@ -62,6 +62,9 @@
   // first 16 KB are kept in any case, since the fingerprint covers them.
   std::uint32_t max_buffered_body_bytes = 65'536;
   std::uint32_t max_caller_connections = 4'096;
+  // See CallerLimits.
+  std::uint32_t max_pipelined_requests = 16;
+  std::uint32_t max_read_ahead = 512;
 
   friend bool operator==(const TransportSettings&,
                          const TransportSettings&) = default;
--- a/source/core/transport/caller_connection.cc
+++ b/source/core/transport/caller_connection.cc
@@ -58,7 +58,8 @@
                                    CallAcceptor& acceptor,
                                    RandomSource& random,
                                    std::shared_ptr<const CallerLimits> limits,
-                                   const CallerDialect& dialect)
+                                   const CallerDialect& dialect,
+                                   std::shared_ptr<ReadAheadBudget> read_ahead)
     : m_socket(std::make_shared<tcp::socket>(std::move(socket))),
       m_buffer(std::make_shared<boost::beast::flat_buffer>(kBufferLimit)),
       m_writer(std::make_shared<Http1Writer>(m_socket)),
@@ -66,13 +67,15 @@
       m_random(random),
       m_limits(std::move(limits)),
       m_dialect(dialect),
-      m_timer(m_socket->get_executor()) {}
-
-void CallerConnection::Start() {
+      m_read_ahead(std::move(read_ahead)),
+      m_timer(m_socket->get_executor()) {
   boost::system::error_code ignored;
   m_socket->set_option(tcp::no_delay(true), ignored);
   m_socket->non_blocking(true, ignored);
-  ReadHead();
+}
+
+void CallerConnection::Start() {
+  ReadOn();
 }
 
 void CallerConnection::StartRefused() {
@@ -85,55 +88,46 @@
 
 void CallerConnection::Close() {
   m_is_closed = true;
-  m_exchange = nullptr;
+  for (const ExchangePtr& exchange : std::exchange(m_exchanges, {})) {
+    exchange->m_is_current = false;
+    exchange->DropAnswer();
+  }
   m_timer.cancel();
   boost::system::error_code ignored;
   m_socket->close(ignored);
 }
 
-void CallerConnection::ReadHead() {
-  m_searched = 0;
-  if (TakeHead()) {
-    return;
-  }
-  m_is_head_begun = m_buffer->size() > 0;
-  Limit(m_is_head_begun ? m_limits->head_time : m_limits->idle_time);
-  m_socket->async_read_some(
-      m_buffer->prepare(kHeadRead),
-      [self = shared_from_this()](const boost::system::error_code& error,
-                                  std::size_t size) {
-        self->OnHeadBytes(error, size);
-      });
-}
+// --- Reading requests -------------------------------------------------------
 
-void CallerConnection::OnHeadBytes(const boost::system::error_code& error,
-                                   std::size_t size) {
-  if (m_is_closed) {
-    return;
+void CallerConnection::ReadOn() {
+  while (!m_is_closed && MayTakeNext() && TakeHead()) {
   }
-  if (error) {
-    Close();
+  if (m_is_closed) {
     return;
   }
-  m_buffer->commit(size);
-  if (TakeHead()) {
-    return;
+  LimitSilence();
+  AwaitBytes();
+}
+
+bool CallerConnection::MayTakeNext() const {
+  if (m_is_lingering) {
+    return false;
   }
-  // Once only: each empty line would else begin the time anew.
-  if (!std::exchange(m_is_head_begun, true)) {
-    Limit(m_limits->head_time);
+  if (m_exchanges.empty()) {
+    return true;
   }
-  m_searched = m_buffer->size();
-  m_socket->async_read_some(
-      m_buffer->prepare(kHeadRead),
-      [self = shared_from_this()](const boost::system::error_code& failure,
-                                  std::size_t more) {
-        self->OnHeadBytes(failure, more);
-      });
+  const Exchange& newest = *m_exchanges.back();
+  // While an answer is on its way to the caller, how long that takes is up to
+  // the caller: what it does not read may not fill this node.
+  const bool is_streaming =
+      m_exchanges.front()->m_answer_state == Exchange::AnswerState::kStreaming;
+  return !m_is_last && newest.m_is_handed_in && !newest.HasUnreadBody() &&
+         !is_streaming && m_exchanges.size() < m_limits->max_pipelined &&
+         m_read_ahead->has_room();
 }
 
 bool CallerConnection::TakeHead() {
-  auto* const bytes = static_cast<const char*>(m_buffer->data().data());
+  const auto* const bytes = static_cast<const char*>(m_buffer->data().data());
   std::string_view text(bytes, m_buffer->size());
   // Old callers send an empty line after a body; RFC 9112 has it ignored.
   while (text.starts_with("\r\n")) {
@@ -143,9 +137,11 @@
   }
   const std::size_t length = HeadLength(text, m_searched);
   if (length > 0) {
+    m_searched = 0;
     BeginExchange(text.substr(0, length));
     return true;
   }
+  m_searched = text.size();
   if (text.size() > m_limits->max_head) {
     Refuse(Reason::kHeadTooLarge);
     return true;
@@ -153,6 +149,72 @@
   return false;
 }
 
+void CallerConnection::AwaitBytes() {
+  const bool is_body_next =
+      !m_exchanges.empty() && m_exchanges.back()->HasUnreadBody();
+  const bool is_full = m_buffer->size() + kHeadRead > kBufferLimit;
+  if (m_is_awaiting || m_is_lingering || m_has_caller_ended || is_body_next ||
+      is_full) {
+    return;
+  }
+  m_is_awaiting = true;
+  m_socket->async_wait(
+      tcp::socket::wait_read,
+      [self = shared_from_this()](const boost::system::error_code& error) {
+        self->m_is_awaiting = false;
+        self->OnReadable(error);
+      });
+}
+
+void CallerConnection::OnReadable(const boost::system::error_code& error) {
+  const bool is_body_next =
+      !m_exchanges.empty() && m_exchanges.back()->HasUnreadBody();
+  // The bytes are the body's: whoever takes that reads on here afterwards.
+  if (m_is_closed || m_is_lingering || is_body_next) {
+    return;
+  }
+  boost::system::error_code failure = error;
+  std::size_t size = 0;
+  if (!failure) {
+    size = m_socket->read_some(m_buffer->prepare(kHeadRead), failure);
+  }
+  if (failure == asio::error::would_block) {
+    AwaitBytes();
+    return;
+  }
+  if (failure) {
+    OnCallerEnded(failure);
+    return;
+  }
+  m_buffer->commit(size);
+  // Once only: each empty line would else begin the time anew.
+  if (m_exchanges.empty() && !std::exchange(m_is_head_begun, true)) {
+    Limit(m_limits->head_time);
+  }
+  ReadOn();
+}
+
+void CallerConnection::OnCallerEnded(const boost::system::error_code& error) {
+  if (m_exchanges.empty()) {
+    Close();
+    return;
+  }
+  // Symptom without this: a call whose caller got every byte counts as unknown.
+  // The last byte of the length tells a caller that its answer is whole, and it
+  // may close before the source tells of its end here.
+  const Exchange& front = *m_exchanges.front();
+  const bool has_whole_answer =
+      m_exchanges.size() == 1 &&
+      front.m_answer_state == Exchange::AnswerState::kStreaming &&
+      m_writer->is_length_reached();
+  if (error == asio::error::eof && has_whole_answer) {
+    m_is_last = true;
+    m_has_caller_ended = true;
+    return;
+  }
+  OnCallerGone();
+}
+
 void CallerConnection::BeginExchange(std::string_view text) {
   Unlimit();
   const Reason fault = CheckRequestHead(text, m_limits->max_head);
@@ -160,8 +222,8 @@
     Refuse(fault);
     return;
   }
-  m_reader = std::make_shared<Http1Reader<true>>(m_socket, m_buffer);
-  auto& parser = m_reader->parser();
+  const auto reader = std::make_shared<Http1Reader<true>>(m_socket, m_buffer);
+  auto& parser = reader->parser();
   parser.header_limit(static_cast<std::uint32_t>(kBufferLimit));
   boost::system::error_code error;
   parser.put(asio::buffer(text.data(), text.size()), error);
@@ -170,9 +232,23 @@
     Refuse(Reason::kMalformedRequest);
     return;
   }
+  const auto exchange = std::make_shared<Exchange>(shared_from_this());
+  m_exchanges.push_back(exchange);
+  exchange->m_reader = reader;
+  const Reason reason = ReadRequest(*exchange);
+  if (reason != Reason::kNone) {
+    Refuse(reason);
+    return;
+  }
+  m_is_last = m_is_last || !parser.keep_alive();
+  PrepareFront();
+  ReadPrefix(exchange);
+}
+
+Reason CallerConnection::ReadRequest(Exchange& exchange) {
+  const auto& parser = exchange.m_reader->parser();
   const auto& message = parser.get();
-  m_exchange = std::make_shared<Exchange>(shared_from_this());
-  CallHead& head = m_exchange->m_head;
+  CallHead& head = exchange.m_head;
   head.method = std::string(message.method_string());
   head.target = std::string(message.target());
   const Reason reason = m_dialect.ReadCallHead(message, head);
@@ -180,154 +256,178 @@
     head.request_id = RequestId(fmt::format("{:016x}", m_random.NextBits()));
   }
   if (reason != Reason::kNone || head.method == "CONNECT") {
-    Refuse(Reason::kMalformedRequest);
-    return;
+    return Reason::kMalformedRequest;
   }
-  m_exchange->m_headers = m_dialect.ForwardedFields(message);
+  exchange.m_headers = m_dialect.ForwardedFields(message);
   if (parser.chunked()) {
-    m_exchange->m_shape.framing = BodyFraming::kChunked;
+    exchange.m_shape.framing = BodyFraming::kChunked;
   } else if (const auto length = parser.content_length()) {
-    m_exchange->m_shape = {BodyFraming::kLength, *length};
+    exchange.m_shape = {BodyFraming::kLength, *length};
   }
-  if (m_exchange->m_shape.length > m_limits->max_body) {
-    Refuse(Reason::kBodyTooLarge);
+  exchange.m_expects_continue =
+      boost::beast::iequals(message[http::field::expect], "100-continue");
+  return exchange.m_shape.length > m_limits->max_body ? Reason::kBodyTooLarge
+                                                      : Reason::kNone;
+}
+
+// Where the caller has to send the rest of the oldest request, its time is
+// limited; the rest of a later one may wait until the caller has an answer.
+void CallerConnection::PrepareFront() {
+  Exchange& front = *m_exchanges.front();
+  if (front.m_is_prefix_read) {
     return;
   }
-  m_is_last = m_is_last || !parser.keep_alive();
-  SendContinue();
   Limit(kPrefixTime);
-  ReadPrefix();
-}
-
-void CallerConnection::SendContinue() {
-  const auto expect = m_reader->parser().get()[http::field::expect];
-  if (boost::beast::iequals(expect, "100-continue") && m_buffer->size() == 0 &&
-      !m_reader->is_done()) {
+  const bool waits_for_word = front.m_expects_continue &&
+                              m_buffer->size() == 0 && front.HasUnreadBody();
+  if (waits_for_word) {
+    front.m_expects_continue = false;
     m_writer->Begin("HTTP/1.1 100 Continue\r\n\r\n", {});
   }
 }
 
-void CallerConnection::ReadPrefix() {
-  m_reader->Read([self = shared_from_this()](const BodyRead& read) {
-    self->OnPrefix(read);
-  });
+void CallerConnection::ReadPrefix(const ExchangePtr& exchange) {
+  exchange->m_reader->Read(
+      [self = shared_from_this(), exchange](const BodyRead& read) {
+        self->OnPrefix(exchange, read);
+      });
 }
 
-void CallerConnection::OnPrefix(const BodyRead& read) {
-  if (m_is_closed) {
+void CallerConnection::OnPrefix(const ExchangePtr& exchange,
+                                const BodyRead& read) {
+  if (!exchange->m_is_current) {
     return;
   }
   if (read.status == BodyStatus::kError) {
     Refuse(Reason::kMalformedRequest);
     return;
   }
-  m_exchange->m_prefix += read.data;
-  m_exchange->m_is_complete = m_reader->is_done();
-  if (m_exchange->m_is_complete ||
-      m_exchange->m_prefix.size() >=
-          std::max(m_limits->max_buffered_body, kBufferedBody)) {
-    HandIn();
+  exchange->m_prefix += read.data;
+  exchange->m_is_complete = !exchange->HasUnreadBody();
+  exchange->m_is_prefix_read =
+      exchange->m_is_complete ||
+      exchange->m_prefix.size() >=
+          std::max(m_limits->max_buffered_body, kBufferedBody);
+  if (!exchange->m_is_prefix_read) {
+    ReadPrefix(exchange);
+    return;
+  }
+  HandInIfDue();
+  ReadOn();
+}
+
+void CallerConnection::HandInIfDue() {
+  const ExchangePtr newest = m_exchanges.back();
+  const bool is_ready = newest->m_is_prefix_read && !newest->m_is_handed_in &&
+                        newest->m_answer_state == Exchange::AnswerState::kNone;
+  if (!is_ready) {
     return;
   }
-  ReadPrefix();
+  if (!IsFront(*newest)) {
+    // What goes wrong otherwise: an answer before this one closes the
+    // connection, the caller sends again what it sent behind that, and what
+    // was started here runs twice.
+    if (!newest->m_is_complete || !m_acceptor.IsRepeatable(newest->m_head)) {
+      return;
+    }
+    newest->m_ahead_slot = m_read_ahead->Take();
+    if (!newest->m_ahead_slot) {
+      return;
+    }
+  }
+  HandIn(newest);
 }
 
-void CallerConnection::HandIn() {
+void CallerConnection::HandIn(const ExchangePtr& exchange) {
   Unlimit();
-  CallHead& head = m_exchange->m_head;
-  head.is_body_buffered = m_exchange->m_is_complete;
+  CallHead& head = exchange->m_head;
+  head.is_body_buffered = exchange->m_is_complete;
   head.fingerprint = FingerprintOf(
-      head, std::string_view(m_exchange->m_prefix).substr(0, kBufferedBody));
-  m_exchange->m_is_handed_in = true;
-  WatchCaller();
-  m_acceptor.OnCall(m_exchange);
+      head, std::string_view(exchange->m_prefix).substr(0, kBufferedBody));
+  exchange->m_is_handed_in = true;
+  m_acceptor.OnCall(exchange);
 }
 
-void CallerConnection::WatchCaller() {
-  if (m_is_watching || m_is_closed || !m_reader->is_done()) {
-    return;
-  }
-  m_is_watching = true;
-  m_socket->async_wait(
-      tcp::socket::wait_read,
-      [self = shared_from_this()](const boost::system::error_code& error) {
-        if (error != asio::error::operation_aborted) {
-          self->OnReadable(error);
-        }
-      });
+// --- Answering --------------------------------------------------------------
+
+bool CallerConnection::IsFront(const Exchange& exchange) const {
+  return m_exchanges.front().get() == &exchange;
 }
 
-void CallerConnection::OnReadable(const boost::system::error_code& error) {
-  m_is_watching = false;
-  if (!m_exchange || m_is_closed) {
-    return;
-  }
-  char byte = 0;
-  boost::system::error_code failure = error;
-  if (!failure) {
-    m_socket->receive(asio::buffer(&byte, 1), tcp::socket::message_peek,
-                      failure);
-  }
-  if (failure == asio::error::would_block) {
-    WatchCaller();
-    return;
-  }
-  // Symptom without this: a call whose caller got every byte counts as unknown.
-  // The last byte of the length tells a caller that its answer is whole, and it
-  // may close before the source tells of its end here.
-  const bool has_whole_answer =
-      m_is_answer_begun && m_writer->is_length_reached();
-  if (failure == asio::error::eof && has_whole_answer) {
-    m_is_last = true;
-    return;
-  }
-  // Without an error the next request is here already; its turn comes.
-  if (failure) {
-    OnCallerGone();
+// What goes wrong without it: a target breaks off a short answer, the
+// connection must close in the midst of it, and those behind, which sound
+// targets are at work on, lose theirs. A short answer comes at once, so that it
+// is later by nothing that counts.
+bool CallerConnection::MustGather(const Exchange& exchange) const {
+  const BodyShape& shape = exchange.m_answer_head.shape;
+  return m_exchanges.size() > 1 && shape.framing != BodyFraming::kChunked &&
+         shape.length <= kHeldAnswer;
+}
+
+std::shared_ptr<BodySink> CallerConnection::BeginAnswer(
+    const ExchangePtr& exchange,
+    AnswerHead head) {
+  // What is left of the request would be taken for the next one.
+  m_is_last = m_is_last || exchange->HasUnreadBody();
+  exchange->m_answer_head = std::move(head);
+  exchange->m_answer_state = Exchange::AnswerState::kHeld;
+  if (IsFront(*exchange) && !MustGather(*exchange)) {
+    StreamAnswer(*exchange);
   }
+  return std::make_shared<AnswerSink>(shared_from_this(), exchange);
 }
 
-void CallerConnection::OnCallerGone() {
-  if (m_is_closed) {
-    return;
+void CallerConnection::StreamAnswer(Exchange& exchange) {
+  AnswerHead head = std::move(exchange.m_answer_head);
+  const bool is_newest = m_exchanges.back().get() == &exchange;
+  if (m_is_last && is_newest) {
+    head.headers.push_back({"Connection", "close"});
   }
-  const std::shared_ptr<Exchange> exchange = std::exchange(m_exchange, nullptr);
-  ResetSocket(*m_socket);
-  Close();
-  if (exchange && exchange->m_is_handed_in) {
-    m_acceptor.OnCallerGone(*exchange);
+  exchange.m_answer_state = Exchange::AnswerState::kStreaming;
+  m_writer->Begin(ToText(head), head.shape);
+  std::string body = std::exchange(exchange.m_answer_body, {});
+  if (body.empty()) {
+    return;
   }
+  BodySink::WriteCallback waiting =
+      std::exchange(exchange.m_waiting_write, nullptr);
+  m_writer->Write(std::move(body),
+                  [self = shared_from_this(),
+                   waiting = std::move(waiting)](bool is_written) {
+                    if (!is_written) {
+                      self->OnCallerGone();
+                    }
+                    if (waiting) {
+                      waiting(is_written);
+                    }
+                  });
 }
 
-void CallerConnection::Refuse(Reason reason) {
-  m_is_last = true;
-  const RequestId request_id =
-      m_exchange ? m_exchange->m_head.request_id : RequestId();
-  LogLine(LogLevel::kInfo, "caller.refused")
-      .Add("reason", TraitsOf(reason).token)
-      .Add("request_id", request_id);
-  m_exchange = nullptr;
-  const std::string body = MakeOutcomeBody(Outcome::kNotRun, reason);
-  AnswerHead head = m_dialect.MakeOwnAnswer(
-      OwnAnswer{Outcome::kNotRun, reason, std::nullopt, request_id});
-  head.shape = {BodyFraming::kLength, body.size()};
-  head.headers.push_back({"Connection", "close"});
-  m_writer->Begin(ToText(head), head.shape);
-  m_writer->Write(body, [](bool) {});
+void CallerConnection::WriteWholeAnswer(Exchange& exchange) {
+  StreamAnswer(exchange);
   m_writer->Finish([self = shared_from_this()](bool is_written) {
     self->OnAnswered(is_written);
   });
 }
 
-std::shared_ptr<BodySink> CallerConnection::BeginAnswer(AnswerHead head) {
-  // What is left of the request would be taken for the next one.
-  m_is_last = m_is_last || !m_reader->is_done();
-  if (m_is_last) {
-    head.headers.push_back({"Connection", "close"});
+void CallerConnection::AdvanceFront() {
+  const ExchangePtr front = m_exchanges.front();
+  switch (front->m_answer_state) {
+    case Exchange::AnswerState::kNone:
+      PrepareFront();
+      HandInIfDue();
+      return;
+    case Exchange::AnswerState::kHeld:
+      if (!MustGather(*front)) {
+        StreamAnswer(*front);
+      }
+      return;
+    case Exchange::AnswerState::kWhole:
+      WriteWholeAnswer(*front);
+      return;
+    case Exchange::AnswerState::kStreaming:
+      return;
   }
-  m_is_answer_begun = true;
-  m_writer->Begin(ToText(head), head.shape);
-  return std::make_shared<AnswerSink>(shared_from_this());
 }
 
 void CallerConnection::OnAnswered(bool is_written) {
@@ -338,33 +438,79 @@
   if (m_is_closed) {
     return;
   }
-  m_exchange = nullptr;
-  m_is_answer_begun = false;
-  if (m_is_last) {
+  m_exchanges.front()->m_is_current = false;
+  m_exchanges.pop_front();
+  if (m_exchanges.empty() && m_is_last) {
     CloseSoftly();
     return;
   }
-  if (m_is_watching) {
-    m_is_watching = false;
-    m_socket->cancel();
+  if (!m_exchanges.empty()) {
+    m_exchanges.front()->m_ahead_slot.Release();
+    AdvanceFront();
+  }
+  ReadOn();
+}
+
+void CallerConnection::OnAnswerBroken(const ExchangePtr& exchange) {
+  const bool is_on_its_way =
+      exchange->m_answer_state == Exchange::AnswerState::kStreaming;
+  if (is_on_its_way || m_exchanges.size() == 1) {
+    Abandon(exchange.get());
+    return;
+  }
+  // No byte of it has left, so the caller can be told in its place, and those
+  // before and behind keep their answers.
+  LogLine(LogLevel::kInfo, "caller.answer_replaced")
+      .Add("request_id", exchange->m_head.request_id);
+  exchange->DropAnswer();
+  const Reason reason = Reason::kTargetLost;
+  exchange->Answer(
+      m_dialect.MakeOwnAnswer(OwnAnswer{Outcome::kUnknown, reason, std::nullopt,
+                                        exchange->m_head.request_id}),
+      MakeOutcomeBody(Outcome::kUnknown, reason));
+}
+
+// --- Ending -----------------------------------------------------------------
+
+void CallerConnection::Refuse(Reason reason) {
+  m_is_last = true;
+  if (m_exchanges.empty() || m_exchanges.back()->m_is_handed_in) {
+    m_exchanges.push_back(std::make_shared<Exchange>(shared_from_this()));
   }
-  ReadHead();
+  const ExchangePtr exchange = m_exchanges.back();
+  exchange->m_reader = nullptr;
+  const RequestId request_id = exchange->m_head.request_id;
+  LogLine(LogLevel::kInfo, "caller.refused")
+      .Add("reason", TraitsOf(reason).token)
+      .Add("request_id", request_id);
+  exchange->Answer(m_dialect.MakeOwnAnswer(OwnAnswer{Outcome::kNotRun, reason,
+                                                     std::nullopt, request_id}),
+                   MakeOutcomeBody(Outcome::kNotRun, reason));
 }
 
-void CallerConnection::Break() {
-  m_exchange = nullptr;
+void CallerConnection::OnCallerGone() {
+  Abandon(nullptr);
+}
+
+void CallerConnection::Abandon(const Exchange* broken) {
+  if (m_is_closed) {
+    return;
+  }
+  const std::deque<ExchangePtr> exchanges = m_exchanges;
   ResetSocket(*m_socket);
   Close();
+  for (const ExchangePtr& exchange : exchanges) {
+    if (exchange->m_is_handed_in && exchange.get() != broken) {
+      m_acceptor.OnCallerGone(*exchange);
+    }
+  }
 }
 
 void CallerConnection::CloseSoftly() {
-  if (m_is_watching) {
-    m_is_watching = false;
-    m_socket->cancel();
-  }
   boost::system::error_code ignored;
   m_socket->shutdown(tcp::socket::shutdown_send, ignored);
   m_buffer->clear();
+  m_is_lingering = true;
   Limit(kLingerTime);
   Linger();
 }
@@ -382,6 +528,15 @@
       });
 }
 
+void CallerConnection::LimitSilence() {
+  if (!m_exchanges.empty() || m_is_lingering || m_is_silence_limited) {
+    return;
+  }
+  m_is_silence_limited = true;
+  m_is_head_begun = m_buffer->size() > 0;
+  Limit(m_is_head_begun ? m_limits->head_time : m_limits->idle_time);
+}
+
 void CallerConnection::Limit(Duration time) {
   m_timer.expires_after(time);
   m_timer.async_wait(
@@ -394,6 +549,8 @@
 }
 
 void CallerConnection::Unlimit() {
+  m_is_silence_limited = false;
+  m_is_head_begun = false;
   // Also tells a handler that is on its way already not to close.
   m_timer.expires_at(TimePoint::max());
 }
--- a/source/core/transport/caller_exchange.cc
+++ b/source/core/transport/caller_exchange.cc
@@ -5,14 +5,12 @@
 
 #include <utility>
 
+#include <boost/asio/post.hpp>
+
 namespace bulrushmount::detail {
 
 // --- Exchange ---------------------------------------------------------------
 
-bool CallerConnection::Exchange::is_current() const {
-  return m_connection->m_exchange.get() == this;
-}
-
 std::shared_ptr<BodySource> CallerConnection::Exchange::OpenBody() {
   if (m_is_rest_taken) {
     return nullptr;
@@ -21,7 +19,7 @@
 }
 
 void CallerConnection::Exchange::Answer(AnswerHead head, std::string body) {
-  if (!is_current()) {
+  if (!m_is_current) {
     return;
   }
   if (m_head.method == "HEAD") {
@@ -30,7 +28,8 @@
   } else {
     head.shape = {BodyFraming::kLength, body.size()};
   }
-  const auto sink = m_connection->BeginAnswer(std::move(head));
+  const auto sink =
+      m_connection->BeginAnswer(shared_from_this(), std::move(head));
   if (!body.empty()) {
     sink->Write(std::move(body), [](bool) {});
   }
@@ -39,18 +38,27 @@
 
 std::shared_ptr<BodySink> CallerConnection::Exchange::BeginAnswer(
     AnswerHead head) {
-  if (!is_current()) {
+  if (!m_is_current) {
     return nullptr;
   }
-  return m_connection->BeginAnswer(std::move(head));
+  return m_connection->BeginAnswer(shared_from_this(), std::move(head));
 }
 
 void CallerConnection::Exchange::Break() {
-  if (is_current()) {
-    m_connection->Break();
+  if (m_is_current) {
+    m_connection->OnAnswerBroken(shared_from_this());
   }
 }
 
+void CallerConnection::Exchange::DropAnswer() {
+  m_answer_state = AnswerState::kNone;
+  m_answer_head = AnswerHead();
+  m_answer_body.clear();
+  m_waiting_write = nullptr;
+}
+
+// --- BodyReplay -------------------------------------------------------------
+
 void CallerConnection::BodyReplay::Read(ReadCallback callback) {
   if (!m_is_prefix_read) {
     m_is_prefix_read = true;
@@ -63,16 +71,15 @@
     callback({BodyStatus::kEnd, {}});
     return;
   }
-  if (!m_exchange->is_current()) {
+  if (!m_exchange->m_is_current) {
     callback({BodyStatus::kError, {}});
     return;
   }
   m_exchange->m_is_rest_taken = true;
   m_callback = std::move(callback);
-  m_exchange->m_connection->m_reader->Read(
-      [self = shared_from_this()](BodyRead read) {
-        self->OnRest(std::move(read));
-      });
+  m_exchange->m_reader->Read([self = shared_from_this()](BodyRead read) {
+    self->OnRest(std::move(read));
+  });
 }
 
 void CallerConnection::BodyReplay::OnRest(BodyRead read) {
@@ -81,20 +88,28 @@
   if (ReadCallback callback = std::exchange(m_callback, nullptr)) {
     callback(std::move(read));
   }
-  if (!m_exchange->is_current()) {
+  if (!m_exchange->m_is_current) {
     return;
   }
   if (status == BodyStatus::kError) {
     connection->OnCallerGone();
     return;
   }
-  connection->WatchCaller();
+  connection->ReadOn();
 }
 
 // --- AnswerSink -------------------------------------------------------------
 
 void CallerConnection::AnswerSink::Write(std::string chunk,
                                          WriteCallback callback) {
+  if (!m_exchange->m_is_current) {
+    Post(std::move(callback), false);
+    return;
+  }
+  if (m_exchange->m_answer_state == Exchange::AnswerState::kHeld) {
+    Hold(chunk, std::move(callback));
+    return;
+  }
   m_connection->m_writer->Write(
       std::move(chunk), [connection = m_connection,
                          callback = std::move(callback)](bool is_written) {
@@ -105,7 +120,25 @@
       });
 }
 
+void CallerConnection::AnswerSink::Hold(const std::string& chunk,
+                                        WriteCallback callback) {
+  m_exchange->m_answer_body += chunk;
+  if (m_exchange->m_answer_body.size() <= kHeldAnswer) {
+    Post(std::move(callback), true);
+    return;
+  }
+  m_exchange->m_waiting_write = std::move(callback);
+}
+
 void CallerConnection::AnswerSink::Finish(WriteCallback callback) {
+  if (!m_exchange->m_is_current) {
+    Post(std::move(callback), false);
+    return;
+  }
+  if (m_exchange->m_answer_state == Exchange::AnswerState::kHeld) {
+    FinishHeld(std::move(callback));
+    return;
+  }
   m_connection->m_writer->Finish(
       [connection = m_connection,
        callback = std::move(callback)](bool is_written) {
@@ -115,8 +148,33 @@
       });
 }
 
+// The answer is whole here: its call has ended, and only the way to the caller
+// is left.
+void CallerConnection::AnswerSink::FinishHeld(WriteCallback callback) {
+  const BodyShape& shape = m_exchange->m_answer_head.shape;
+  const bool is_short = shape.framing != BodyFraming::kChunked &&
+                        m_exchange->m_answer_body.size() != shape.length;
+  if (is_short) {
+    Post(std::move(callback), false);
+    m_connection->OnAnswerBroken(m_exchange);
+    return;
+  }
+  m_exchange->m_answer_state = Exchange::AnswerState::kWhole;
+  Post(std::move(callback), true);
+  m_connection->AdvanceFront();
+}
+
 void CallerConnection::AnswerSink::Abort() {
-  m_connection->Break();
+  if (m_exchange->m_is_current) {
+    m_connection->OnAnswerBroken(m_exchange);
+  }
+}
+
+void CallerConnection::AnswerSink::Post(WriteCallback callback,
+                                        bool is_written) {
+  boost::asio::post(
+      m_connection->m_socket->get_executor(),
+      [callback = std::move(callback), is_written] { callback(is_written); });
 }
 
 }  // namespace bulrushmount::detail
--- a/source/core/transport/caller_server.cc
+++ b/source/core/transport/caller_server.cc
@@ -33,6 +33,7 @@
       m_random(random),
       m_dialect(dialect),
       m_limits(std::make_shared<CallerLimits>(limits)),
+      m_read_ahead(std::make_shared<ReadAheadBudget>(limits.max_read_ahead)),
       m_listener(context) {}
 
 CallerServer::~CallerServer() {
@@ -67,7 +68,8 @@
       return;
     }
     auto connection = std::make_shared<detail::CallerConnection>(
-        std::move(socket), m_acceptor, m_random, m_limits, m_dialect);
+        std::move(socket), m_acceptor, m_random, m_limits, m_dialect,
+        m_read_ahead);
     if (m_is_ending) {
       connection->Drain();
     }
--- a/source/core/transport/caller_server.h
+++ b/source/core/transport/caller_server.h
@@ -24,6 +24,7 @@
 #include "core/transport/body_stream.h"
 #include "core/transport/caller_dialect.h"
 #include "core/transport/http1_head.h"
+#include "core/transport/read_ahead_budget.h"
 
 namespace bulrushmount {
 
@@ -48,6 +49,13 @@
   // its buffers for ever.
   Duration idle_time = std::chrono::seconds(75);
   Duration head_time = std::chrono::seconds(10);
+  // Requests of one connection that are in progress at once, the oldest
+  // included; 1 works on them one after another. Callers that send ahead send a
+  // handful.
+  std::size_t max_pipelined = 16;
+  // Requests that are worked on ahead of their turn, over all connections. Each
+  // holds up to 80 KB of its answer: 40 MB at the worst.
+  std::size_t max_read_ahead = 512;
 };
 
 // One call, from its head to the end of its answer. Exactly one of Answer,
@@ -81,6 +89,10 @@
   virtual void OnCall(std::shared_ptr<CallerExchange> exchange) = 0;
   // The caller went before the end of its answer. Not told after Break.
   virtual void OnCallerGone(const CallerExchange& exchange) = 0;
+  // Whether running the request twice does no harm, as far as is known now.
+  // Only such a request is handed in while one before it on its connection is
+  // unanswered.
+  virtual bool IsRepeatable(const CallHead& head) const = 0;
 };
 
 namespace detail {
@@ -129,6 +141,7 @@
   const CallerDialect& m_dialect;
   // Shared with the connections.
   std::shared_ptr<CallerLimits> m_limits;
+  std::shared_ptr<ReadAheadBudget> m_read_ahead;
   bool m_is_ending = false;
   boost::asio::ip::tcp::acceptor m_listener;
   std::vector<std::weak_ptr<detail::CallerConnection>> m_connections;
--- a/source/core/transport/entry_calls.cc
+++ b/source/core/transport/entry_calls.cc
@@ -99,12 +99,14 @@
 
 EntryCalls::EntryCalls(boost::asio::any_io_executor executor,
                        NodeId self,
+                       const NodeBrain& brain,
                        NodeStreamClient& client,
                        WorkAcceptor& own_works,
                        EventSink& events,
                        const CallerDialect& dialect)
     : m_executor(std::move(executor)),
       m_self(self),
+      m_brain(brain),
       m_client(client),
       m_own_works(own_works),
       m_events(events),
--- a/source/core/transport/entry_calls.h
+++ b/source/core/transport/entry_calls.h
@@ -13,6 +13,7 @@
 #include "core/common/ids.h"
 #include "core/common/time.h"
 #include "core/node_logic/actions.h"
+#include "core/node_logic/node_brain.h"
 #include "core/transport/caller_server.h"
 #include "core/transport/event_sink.h"
 #include "core/transport/node_stream_client.h"
@@ -24,6 +25,7 @@
   // All must outlive the object.
   EntryCalls(boost::asio::any_io_executor executor,
              NodeId self,
+             const NodeBrain& brain,
              NodeStreamClient& client,
              WorkAcceptor& own_works,
              EventSink& events,
@@ -35,6 +37,9 @@
 
   void OnCall(std::shared_ptr<CallerExchange> exchange) override;
   void OnCallerGone(const CallerExchange& exchange) override;
+  bool IsRepeatable(const CallHead& head) const override {
+    return m_brain.IsRepeatable(head);
+  }
 
   // An action about a call that has ended is without effect.
   void Do(const DispatchAttempt& action);
@@ -62,6 +67,7 @@
 
   boost::asio::any_io_executor m_executor;
   NodeId m_self;
+  const NodeBrain& m_brain;
   NodeStreamClient& m_client;
   WorkAcceptor& m_own_works;
   EventSink& m_events;
--- a/source/core/transport/node_daemon.cc
+++ b/source/core/transport/node_daemon.cc
@@ -74,6 +74,8 @@
   driver.callers.max_head = transport.max_head_bytes;
   driver.callers.max_buffered_body = transport.max_buffered_body_bytes;
   driver.callers.max_connections = transport.max_caller_connections;
+  driver.callers.max_pipelined = transport.max_pipelined_requests;
+  driver.callers.max_read_ahead = transport.max_read_ahead;
   return driver;
 }
 
--- /dev/null
+++ b/source/core/transport/read_ahead_budget.h
@@ -0,0 +1,67 @@
+// How many requests a node works on ahead of their turn, over all connections.
+//
+// Load pattern: every caller sends a long series behind a request whose answer
+// does not come. Each request that was started ahead holds its answer here
+// until the one before it has ended, so without a bound over all connections
+// the answers would fill the node's memory.
+
+#ifndef BULRUSHMOUNT_CORE_TRANSPORT_READ_AHEAD_BUDGET_H_
+#define BULRUSHMOUNT_CORE_TRANSPORT_READ_AHEAD_BUDGET_H_
+
+#include <cstddef>
+#include <memory>
+#include <utility>
+
+namespace bulrushmount {
+
+class ReadAheadBudget : public std::enable_shared_from_this<ReadAheadBudget> {
+ public:
+  // Gives its place back when it goes. Empty ones hold none.
+  class Slot {
+   public:
+    Slot() = default;
+    ~Slot() { Release(); }
+
+    Slot(Slot&& other) noexcept : m_budget(std::move(other.m_budget)) {}
+    Slot& operator=(Slot&& other) noexcept {
+      Release();
+      m_budget = std::move(other.m_budget);
+      return *this;
+    }
+
+    void Release() {
+      if (const auto budget = std::exchange(m_budget, nullptr))
+        --budget->m_taken;
+    }
+
+    explicit operator bool() const { return m_budget != nullptr; }
+
+   private:
+    friend class ReadAheadBudget;
+    explicit Slot(std::shared_ptr<ReadAheadBudget> budget)
+        : m_budget(std::move(budget)) {}
+
+    std::shared_ptr<ReadAheadBudget> m_budget;
+  };
+
+  explicit ReadAheadBudget(std::size_t limit) : m_limit(limit) {}
+
+  bool has_room() const { return m_taken < m_limit; }
+
+  // Empty if there is no room.
+  Slot Take() {
+    if (!has_room())
+      return Slot();
+    ++m_taken;
+    return Slot(shared_from_this());
+  }
+
+ private:
+  std::size_t m_limit;
+  // Slots that are held; at most m_limit.
+  std::size_t m_taken = 0;
+};
+
+}  // namespace bulrushmount
+
+#endif  // BULRUSHMOUNT_CORE_TRANSPORT_READ_AHEAD_BUDGET_H_
--- a/source/fuzz/caller_connection_fuzz.cc
+++ b/source/fuzz/caller_connection_fuzz.cc
@@ -33,6 +33,7 @@
     exchange->Answer(std::move(answer), "hello");
   }
   void OnCallerGone(const CallerExchange&) override {}
+  bool IsRepeatable(const CallHead&) const override { return true; }
 };
 
 }  // namespace
@@ -62,7 +63,8 @@
   {
     auto connection = std::make_shared<detail::CallerConnection>(
         std::move(socket), acceptor, random,
-        std::make_shared<CallerLimits>(limits), DefaultCallerDialect());
+        std::make_shared<CallerLimits>(limits), DefaultCallerDialect(),
+        std::make_shared<ReadAheadBudget>(limits.max_read_ahead));
     connection->Start();
     weak = connection;
   }
--- a/source/unit_tests/core/transport/caller_limits_test.cc
+++ b/source/unit_tests/core/transport/caller_limits_test.cc
@@ -29,6 +29,7 @@
     exchange->Answer(std::move(head), "hello");
   }
   void OnCallerGone(const CallerExchange&) override {}
+  bool IsRepeatable(const CallHead&) const override { return true; }
 
   int calls = 0;
   bool is_body_buffered = false;
@@ -170,6 +171,7 @@
       sink->Finish([token](bool) {});
     }
     void OnCallerGone(const CallerExchange&) override {}
+  bool IsRepeatable(const CallHead&) const override { return true; }
     // Held by the callbacks of the answer.
     std::weak_ptr<int> held;
   };
--- a/source/unit_tests/core/transport/caller_server_test.cc
+++ b/source/unit_tests/core/transport/caller_server_test.cc
@@ -20,9 +20,11 @@
     calls.push_back(std::move(exchange));
   }
   void OnCallerGone(const CallerExchange&) override { ++gone; }
+  bool IsRepeatable(const CallHead&) const override { return is_repeatable; }
 
   std::vector<std::shared_ptr<CallerExchange>> calls;
   int gone = 0;
+  bool is_repeatable = true;
 };
 
 class CallerServerTest : public ::testing::Test {
--- a/source/unit_tests/core/transport/relay_test.cc
+++ b/source/unit_tests/core/transport/relay_test.cc
@@ -295,8 +295,27 @@
 // Symptom: a caller gets a part of another's answer.
 // Events: pipelined calls on one connection; each is answered with its path.
 // Cause: answers matched by order across exchanges.
-TEST_P(RelayTest, PipelinedCallsGetTheirOwnAnswersInOrder) {
-  StartNodes([](RawPeer& peer) {
+class PipelinedRelayTest : public RelayTest {
+ public:
+  // Sends kCalls at once to a target that answers each with its path, and
+  // checks the order of the answers.
+  void RunPipelinedCalls() {
+    std::string all;
+    for (int call = 0; call < kCalls; ++call) {
+      all += Get("/call-" + std::to_string(call) + "-");
+    }
+    caller->Send(all);
+    ASSERT_TRUE(RunUntilReceived("\r\n\r\n/call-49-"));
+    std::size_t last = 0;
+    for (int call = 0; call < kCalls; ++call) {
+      const std::size_t found = caller->received().find(
+          "\r\n\r\n/call-" + std::to_string(call) + "-", last);
+      ASSERT_NE(found, std::string::npos) << call;
+      last = found;
+    }
+  }
+
+  static void AnswerWithPath(RawPeer& peer) {
     const std::size_t end = peer.received().find("\r\n\r\n");
     if (end == std::string::npos) {
       return;
@@ -306,23 +325,33 @@
     peer.received().erase(0, end + 4);
     peer.Send("HTTP/1.1 200 OK\r\nContent-Length: " +
               std::to_string(path.size()) + "\r\n\r\n" + path);
-  });
-  std::string all;
-  for (int call = 0; call < kCalls; ++call) {
-    all += Get("/call-" + std::to_string(call) + "-");
-  }
-  caller->Send(all);
-  ASSERT_TRUE(RunUntilReceived("\r\n\r\n/call-49-"));
-  std::size_t last = 0;
-  for (int call = 0; call < kCalls; ++call) {
-    const std::size_t found = caller->received().find(
-        "\r\n\r\n/call-" + std::to_string(call) + "-", last);
-    ASSERT_NE(found, std::string::npos) << call;
-    last = found;
   }
+};
+
+TEST_P(PipelinedRelayTest, CallsGetTheirOwnAnswersInOrder) {
+  StartNodes(AnswerWithPath);
+  RunPipelinedCalls();
+  // One exchange at a time on a connection to the target, and no more of them
+  // than calls may be in progress.
+  EXPECT_LE(target->connections(), CallerLimits().max_pipelined);
+}
+
+// The same where calls may not be repeated: each waits for the one before it.
+TEST_P(PipelinedRelayTest, CallsThatMayNotBeRepeatedFollowOneAnother) {
+  StartNodes(AnswerWithPath);
+  first().brain.is_repeatable = false;
+  RunPipelinedCalls();
   EXPECT_EQ(target->connections(), 1U);
 }
 
+INSTANTIATE_TEST_SUITE_P(Paths,
+                         PipelinedRelayTest,
+                         ::testing::Values(Path::kLocal, Path::kTwoNodes),
+                         [](const auto& info) {
+                           return info.param == Path::kLocal ? "Local"
+                                                             : "TwoNodes";
+                         });
+
 INSTANTIATE_TEST_SUITE_P(Paths,
                          RelayTest,
                          ::testing::Values(Path::kLocal, Path::kTwoNodes),
--- a/source/unit_tests/core/transport/transport_test_support.h
+++ b/source/unit_tests/core/transport/transport_test_support.h
@@ -101,6 +101,7 @@
  public:
   std::vector<NodeAction> Handle(TimePoint now, NodeEvent event) override;
   TimePoint NextWakeup() const override { return TimePoint::max(); }
+  bool IsRepeatable(const CallHead&) const override { return is_repeatable; }
   bool IsReady() const override { return true; }
 
   template <typename Event>
@@ -127,6 +128,8 @@
   Endpoint owner_endpoint;
   // With a reason, works are refused.
   Reason refuse_with = Reason::kNone;
+  // Calls may be handed in ahead of their turn.
+  bool is_repeatable = true;
   // Works are left waiting.
   bool holds_works = false;
   std::vector<NodeEvent> events;
