Tell the start at a target that is kept below its knee as it is

Cause: an owner took its target for crowded from eight of nine requests on, nine being the limit that already keeps it below its knee (twelve slots), and told each wait as a whole service time more.

Ruled out: waits at owners (0 ms in the median outside of bursts).

Change: the knee is looked for in the slots, and the n-th that waits is expected to wait n parts of the usual time, the limit being the number of parts.

--- a/source/core/admission/admission.cc
+++ b/source/core/admission/admission.cc
@@ -38,6 +38,7 @@
                                      std::uint32_t slots,
                                      std::uint32_t connections) {
   m_limit->SetSlots(slots);
+  m_slots = slots;
   m_connections = connections;
   m_is_open = true;
   return Settle(now);
--- a/source/core/admission/admission.h
+++ b/source/core/admission/admission.h
@@ -134,6 +134,8 @@
   std::size_t QueuedUpTo(Rank rank) const { return m_queue.CountUpTo(rank); }
   // Exact. The limit is 0 while the target takes no new work.
   LoadReport load() const;
+  // As announced; 0 before that.
+  std::uint32_t slots() const { return m_slots; }
 
  private:
   struct Running {
@@ -193,6 +195,7 @@
   std::unordered_map<WorkId, Running> m_running;
   // Of m_running; at most 1.
   std::uint32_t m_suspects_running = 0;
+  std::uint32_t m_slots = 0;
   std::uint32_t m_connections = 0;
   bool m_is_open = false;
   std::map<Rank, RankHistory> m_rank_histories;
--- a/source/core/admission/start_estimate.h
+++ b/source/core/admission/start_estimate.h
@@ -35,6 +35,9 @@
   std::uint32_t queued = 0;
   // Requests that may run at once.
   std::uint32_t limit = 0;
+  // Requests that the target can run at once; above `limit` where that stays
+  // below its knee.
+  std::uint32_t slots = 0;
   // By the target's own word; 1 without one.
   double told_slowdown = 1.0;
   bool is_told = false;
@@ -43,15 +46,18 @@
 
 inline double EstimateSlowdown(const StartConditions& conditions) {
   const double limit = std::max(1U, conditions.limit);
-  const double ahead = conditions.in_flight + conditions.queued;
+  const double with_it = conditions.in_flight + conditions.queued + 1;
   double slowdown = conditions.told_slowdown;
   if (conditions.is_cold && !conditions.is_told)
     slowdown = kColdSlowdown;
-  if (ahead + 1 > kCrowdedFrom * limit)
+  // No more than the limit run beside it, so a target that is kept below its
+  // knee never crowds.
+  if (std::min(with_it, limit) > kCrowdedFrom * conditions.slots)
     slowdown *= kCrowdedSlowdown;
-  // Each limit's worth of requests that must end first is one more time.
-  if (ahead + 1 > limit)
-    slowdown += conditions.told_slowdown * (ahead + 1 - limit) / limit + 1;
+  // While the limit is reached, one ends in each part of the usual time that
+  // falls to one of them, and the next may start.
+  if (with_it > limit)
+    slowdown += conditions.told_slowdown * (with_it - limit) / limit;
   return slowdown;
 }
 
--- a/source/core/node_logic/owner_side.cc
+++ b/source/core/node_logic/owner_side.cc
@@ -154,6 +154,7 @@
   return {.in_flight = now_load.in_flight,
           .queued = now_load.queued,
           .limit = now_load.limit,
+          .slots = m_admission.slots(),
           .told_slowdown = m_speed.slowdown(),
           .is_told = m_speed.is_told(),
           .is_cold = m_life.state() == TargetState::kWarming};
