Tell the processes of a target apart that starts again under its id

Change: a heartbeat may tell when its process started. A later one begins anew and is confirmed like any first word; words of an earlier one open nothing, close nothing of the later one and are acknowledged; a drain binds the process that said it. A heartbeat of a service that the configuration does not name takes nobody's place.

--- a/source/core/node_logic/events.h
+++ b/source/core/node_logic/events.h
@@ -135,6 +135,8 @@
 // The target says that it has left. It may go on with what it runs.
 struct TargetDeparted {
   InstanceId instance;
+  // Which process of it has left; empty if that is not told.
+  std::optional<ProcessStart> started{};
 };
 
 struct ProbeAnswered {
--- a/source/core/node_logic/node.cc
+++ b/source/core/node_logic/node.cc
@@ -276,7 +276,7 @@
 }
 
 void Node::On(TimePoint now, const TargetDeparted& event) {
-  m_owner.OnDeparted(now, event.instance);
+  m_owner.OnDeparted(now, event);
 }
 
 void Node::On(TimePoint now, const ProbeAnswered& event) {
--- a/source/core/node_logic/owner_side.cc
+++ b/source/core/node_logic/owner_side.cc
@@ -268,12 +268,20 @@
 }
 
 void OwnerSide::OnHeartbeat(TimePoint now, const TargetHeartbeat& heartbeat) {
+  // What goes wrong otherwise: two such words would take the place of the
+  // target that is there, which closes that for good.
+  if (m_routes.is_known() && !m_routes.FindService(heartbeat.service)) {
+    LogLine(LogLevel::kWarning, "target.unknown_service")
+        .Add("instance", heartbeat.instance)
+        .Add("service", heartbeat.service);
+    return;
+  }
   Obey(now, m_gate.OnHeartbeat(now, heartbeat));
 }
 
-void OwnerSide::OnDeparted(TimePoint now, const InstanceId& instance) {
-  LogLine(LogLevel::kInfo, "target.departed").Add("instance", instance);
-  Obey(now, m_gate.OnDeparted(instance));
+void OwnerSide::OnDeparted(TimePoint now, const TargetDeparted& event) {
+  LogLine(LogLevel::kInfo, "target.departed").Add("instance", event.instance);
+  Obey(now, m_gate.OnDeparted(event.instance, event.started));
 }
 
 bool OwnerSide::OnOwnProbe(TimePoint now, const ProbeAnswered& event) {
@@ -329,10 +337,14 @@
 
 void OwnerSide::OpenGate(TimePoint now) {
   const TargetHeartbeat& heartbeat = *m_gate.current();
-  if (heartbeat.instance != m_instance) {
+  const bool has_restarted = heartbeat.started && m_process_started &&
+                             heartbeat.started != m_process_started;
+  const bool is_new = heartbeat.instance != m_instance || has_restarted;
+  if (is_new) {
     // The one before it is gone: what broke off at it may have been its end.
     AccuseBroken(now);
     m_instance = heartbeat.instance;
+    m_process_started.reset();
     ++m_ordinal;
     LogLine(LogLevel::kInfo, "target.gate_opened")
         .Add("instance", m_instance)
@@ -340,6 +352,8 @@
         .Add("slots", heartbeat.slots)
         .Add("cold_ms", ToMilliseconds(heartbeat.cold_time_left));
   }
+  if (heartbeat.started)
+    m_process_started = heartbeat.started;
   if (m_endpoint != heartbeat.endpoint)
     m_actions.Push(UseTarget{heartbeat.endpoint});
   const ServiceProfile* const profile = m_routes.FindService(heartbeat.service);
--- a/source/core/node_logic/owner_side.h
+++ b/source/core/node_logic/owner_side.h
@@ -54,7 +54,7 @@
 
   // Of targets that are known by an id.
   void OnHeartbeat(TimePoint now, const TargetHeartbeat& heartbeat);
-  void OnDeparted(TimePoint now, const InstanceId& instance);
+  void OnDeparted(TimePoint now, const TargetDeparted& event);
   // False if the probe is none of this object's.
   bool OnOwnProbe(TimePoint now, const ProbeAnswered& event);
   bool OnOwnProbe(TimePoint now, const ProbeFailed& event);
@@ -132,6 +132,7 @@
   // at each that the gate lets in.
   std::uint64_t m_ordinal = 0;
   InstanceId m_instance;
+  std::optional<ProcessStart> m_process_started;
   bool m_needs_crash = false;
   BrokenExchanges m_broken;
 
--- a/source/core/target_state/target_gate.cc
+++ b/source/core/target_state/target_gate.cc
@@ -21,6 +21,12 @@
 GateVerdict TargetGate::OnHeartbeat(TimePoint now,
                                     const TargetHeartbeat& heartbeat) {
   Record& record = RecordOf(heartbeat.instance);
+  if (!FollowProcess(heartbeat.started, record)) {
+    LogLine(LogLevel::kInfo, "target.heartbeat_of_earlier_process")
+        .Add("instance", heartbeat.instance)
+        .Add("sequence", heartbeat.sequence);
+    return GateVerdict::kNone;
+  }
   // Draining is for good, however old the word is.
   if (heartbeat.readiness == TargetReadiness::kDraining)
     return Close(heartbeat.instance);
@@ -34,20 +40,45 @@
     return GateVerdict::kNone;
   }
   record.newest_sequence = heartbeat.sequence;
-  const bool is_current =
-      m_current && m_current->instance == heartbeat.instance;
-  const bool is_second_word =
-      m_candidate && m_candidate->instance == heartbeat.instance;
-  if (is_current || is_second_word)
+  const bool is_confirmed = IsSameProcess(m_current, heartbeat) ||
+                            IsSameProcess(m_candidate, heartbeat);
+  if (is_confirmed)
     return Open(heartbeat);
   m_candidate = heartbeat;
   return GateVerdict::kProbe;
 }
 
-GateVerdict TargetGate::OnDeparted(const InstanceId& instance) {
+GateVerdict TargetGate::OnDeparted(const InstanceId& instance,
+                                   const std::optional<ProcessStart>& started) {
+  if (!FollowProcess(started, RecordOf(instance)))
+    return GateVerdict::kNone;
   return Close(instance);
 }
 
+bool TargetGate::FollowProcess(const std::optional<ProcessStart>& started,
+                               Record& record) {
+  if (!started)
+    return true;
+  if (record.started && *started < *record.started)
+    return false;
+  const bool is_later = record.started && *started > *record.started;
+  if (is_later) {
+    record.newest_sequence = 0;
+    record.is_closed = false;
+  }
+  record.started = started;
+  return true;
+}
+
+bool TargetGate::IsSameProcess(const std::optional<TargetHeartbeat>& place,
+                               const TargetHeartbeat& heartbeat) {
+  if (!place || place->instance != heartbeat.instance)
+    return false;
+  // A word that does not tell is of the process that is known.
+  return !place->started || !heartbeat.started ||
+         place->started == heartbeat.started;
+}
+
 GateVerdict TargetGate::OnProbe(const InstanceId& instance, bool is_healthy) {
   if (!m_candidate)
     return GateVerdict::kNone;
@@ -79,7 +110,7 @@
     return *found;
   if (m_records.size() >= kMaxRecords)
     m_records.pop_front();
-  m_records.push_back(Record{instance, 0, false});
+  m_records.push_back(Record{instance, std::nullopt, 0, false});
   return m_records.back();
 }
 
--- a/source/core/target_state/target_gate.h
+++ b/source/core/target_state/target_gate.h
@@ -8,7 +8,11 @@
 // that was promised none; one would see requests that begin after the drain
 // was acknowledged. So the first word of a target counts only once the target
 // itself confirms it: by its health endpoint under the same id, or by a second,
-// newer heartbeat. What has drained or left once never opens again.
+// newer heartbeat. A process that has drained or left once never opens again.
+//
+// A target may start again under its id, and its sequence begins anew. What
+// goes wrong without telling its processes apart: the new one looks like late
+// words of the old one, and the target gets no work for good.
 
 #ifndef BULRUSHMOUNT_CORE_TARGET_STATE_TARGET_GATE_H_
 #define BULRUSHMOUNT_CORE_TARGET_STATE_TARGET_GATE_H_
@@ -38,7 +42,10 @@
 class TargetGate {
  public:
   GateVerdict OnHeartbeat(TimePoint now, const TargetHeartbeat& heartbeat);
-  GateVerdict OnDeparted(const InstanceId& instance);
+  // `started` tells which process of the target has left; without it, the
+  // newest that is known.
+  GateVerdict OnDeparted(const InstanceId& instance,
+                         const std::optional<ProcessStart>& started = {});
 
   // `instance` is who answered; empty if the target tells no id.
   GateVerdict OnProbe(const InstanceId& instance, bool is_healthy);
@@ -52,15 +59,25 @@
   }
 
  private:
-  // What is remembered of a target, so that a late word of it is known as such.
+  // What is remembered of a target's newest process, so that a late word of it
+  // or of an earlier one is known as such.
   struct Record {
     InstanceId instance;
+    // Empty until a word has told it. Never falls.
+    std::optional<ProcessStart> started;
     std::uint64_t newest_sequence = 0;
-    // It drains, has left or was replaced. Never taken back.
+    // It drains, has left or was replaced. Never taken back for this process.
     bool is_closed = false;
   };
 
   Record& RecordOf(const InstanceId& instance);
+  // Whether a word of the process that started then is of the record's, which
+  // becomes that process if it is a later one. False for an earlier one.
+  static bool FollowProcess(const std::optional<ProcessStart>& started,
+                            Record& record);
+  // Whether the target of the word is the one in `place`, in the same process.
+  static bool IsSameProcess(const std::optional<TargetHeartbeat>& place,
+                            const TargetHeartbeat& heartbeat);
   GateVerdict Close(const InstanceId& instance);
   GateVerdict Open(const TargetHeartbeat& heartbeat);
 
--- a/source/unit_tests/core/target_state/target_gate_test.cc
+++ b/source/unit_tests/core/target_state/target_gate_test.cc
@@ -3,7 +3,11 @@
 
 #include "core/target_state/target_gate.h"
 
+#include <chrono>
 #include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -117,6 +121,101 @@
   EXPECT_FALSE(m_gate.current());
 }
 
+// --- Targets that start again under their id --------------------------------
+
+TargetHeartbeat Of(int process, TargetHeartbeat heartbeat) {
+  heartbeat.started = ProcessStart(std::chrono::milliseconds(process));
+  return heartbeat;
+}
+
+// Symptom: a target gets no work for good. Sequence: it crashes and starts
+// again under its id; its heartbeats count from 1 again. Cause: they were taken
+// for late words of before.
+TEST_F(TargetGateTest, AProcessThatStartedAgainOpensAnew) {
+  m_gate.OnHeartbeat(m_now, Of(1, Ready("a", 70)));
+  m_gate.OnProbe(InstanceId("a"), true);
+  ASSERT_TRUE(IsOpenFor("a"));
+  EXPECT_EQ(m_gate.OnHeartbeat(m_now, Of(2, Ready("a", 1))),
+            GateVerdict::kProbe);
+  EXPECT_EQ(m_gate.OnProbe(InstanceId("a"), true), GateVerdict::kOpen);
+  EXPECT_EQ(m_gate.current()->sequence, 1U);
+}
+
+// A drain binds the process that said it, and no later one.
+TEST_F(TargetGateTest, AProcessAfterOneThatDrainedOpens) {
+  m_gate.OnHeartbeat(m_now, Of(1, Draining("a", 9)));
+  m_gate.OnHeartbeat(m_now, Of(2, Ready("a", 1)));
+  EXPECT_EQ(m_gate.OnHeartbeat(m_now, Of(2, Ready("a", 2))),
+            GateVerdict::kOpen);
+  EXPECT_EQ(m_gate.OnHeartbeat(m_now, Of(1, Ready("a", 99))),
+            GateVerdict::kNone);
+  EXPECT_TRUE(IsOpenFor("a"));
+}
+
+// Symptom: a sound target is closed for good. Sequence: it drains, exits and is
+// started again under its id; its last words of before arrive late. Cause: they
+// were taken for the new process's.
+TEST_F(TargetGateTest, LateWordsOfAnEarlierProcessCloseNothing) {
+  m_gate.OnHeartbeat(m_now, Of(2, Ready("a", 1)));
+  m_gate.OnProbe(InstanceId("a"), true);
+  EXPECT_EQ(m_gate.OnHeartbeat(m_now, Of(1, Draining("a", 50))),
+            GateVerdict::kNone);
+  EXPECT_EQ(m_gate.OnDeparted(InstanceId("a"),
+                              ProcessStart(std::chrono::milliseconds(1))),
+            GateVerdict::kNone);
+  EXPECT_TRUE(IsOpenFor("a"));
+  EXPECT_EQ(m_gate.OnDeparted(InstanceId("a"),
+                              ProcessStart(std::chrono::milliseconds(2))),
+            GateVerdict::kClose);
+}
+
+// A naive gate that sees the words of one target in their true order: it knows
+// which process is the newest of which it has heard, and whether that has said
+// that it drains. Ours hears them in any order, and must never be open for a
+// process that has, nor for one that was followed by another.
+RC_GTEST_PROP(TargetGateProperty, ProcessesOfOneIdAgreeWithTrueTime, ()) {
+  TargetGate gate;
+  const InstanceId instance("a");
+  int newest = 0;
+  std::set<int> closed;
+  std::map<int, std::set<std::uint64_t>> ready_words;
+  const auto steps = *rc::gen::inRange(1, 80);
+  for (int step = 0; step < steps; ++step) {
+    const int process = *rc::gen::inRange(1, 5);
+    const auto sequence = static_cast<std::uint64_t>(*rc::gen::inRange(1, 12));
+    const auto what = *rc::gen::inRange(0, 8);
+    const bool is_news = process >= newest;
+    newest = std::max(newest, process);
+    if (what == 0) {
+      gate.OnHeartbeat(TimePoint(), Of(process, Draining("a", sequence)));
+      closed.insert(process);
+    } else if (what == 1) {
+      gate.OnDeparted(instance,
+                      ProcessStart(std::chrono::milliseconds(process)));
+      closed.insert(process);
+    } else {
+      auto& words = ready_words[process];
+      const bool is_newer =
+          is_news && (words.empty() || sequence > *words.rbegin());
+      gate.OnHeartbeat(TimePoint(), Of(process, Ready("a", sequence)));
+      if (is_newer)
+        words.insert(sequence);
+    }
+    const std::optional<TargetHeartbeat>& current = gate.current();
+    if (current) {
+      const auto open =
+          static_cast<int>(current->started->time_since_epoch().count());
+      RC_ASSERT(!closed.contains(open));
+    }
+    // Two words in their order and none of leaving: it is open, and for that.
+    if (ready_words[newest].size() >= 2 && !closed.contains(newest)) {
+      RC_ASSERT(current.has_value());
+      RC_ASSERT(current->started ==
+                ProcessStart(std::chrono::milliseconds(newest)));
+    }
+  }
+}
+
 // Whatever comes in whatever order: what has drained or departed never opens.
 RC_GTEST_PROP(TargetGateProperty, ClosedTargetsStayClosed, ()) {
   TargetGate gate;
