Tell who has come back from who is new, by how long they will wait

Cause: callers that were refused come back, and their objective counts from their first try; entries took them for new.

Change: what a kind's callers say clusters at the longest time; below the gap under that cluster is who has come back, and its objective is shorter by what it waited. The log of a call tells both.

--- a/source/core/node_logic/entry_side.cc
+++ b/source/core/node_logic/entry_side.cc
@@ -142,6 +142,9 @@
       .Add("attempts", call.attempts_made)
       .Add("hand_overs", call.hand_overs)
       .Add("last_refusal", TraitsOf(call.last_refusal).token)
+      .Add("told_ms",
+           ToMilliseconds(call.head.deadline.value_or(Duration::zero())))
+      .Add("waited_before_ms", ToMilliseconds(call.waited_before))
       .Add("ms", ToMilliseconds(now - call.arrived_at));
   // A call that no route matches has no deadline.
   if (call.deadline != TimePoint::max())
--- a/source/core/pipeline/call.h
+++ b/source/core/pipeline/call.h
@@ -49,6 +49,8 @@
   TimePoint arrived_at;
   // For the first byte of the answer.
   TimePoint deadline;
+  // Since the caller's first try, as far as that is known.
+  Duration waited_before{};
   CallTerms terms;
 
   // Index of the filter that the call waits in, or the number of filters once
--- a/source/core/pipeline/dispatcher.cc
+++ b/source/core/pipeline/dispatcher.cc
@@ -242,8 +242,8 @@
   head.is_last_attempt = !call.attempt->has_retry;
   head.priority = call.terms.priority;
   if (m_settings.has_objectives)
-    head.objective_left =
-        call.terms.kind.objective.within - (now - call.arrived_at);
+    head.objective_left = call.terms.kind.objective.within -
+                          call.waited_before - (now - call.arrived_at);
   head.max_slowdown = call.attempt->is_choosy
                           ? m_hopes.Acceptable(now, call.head.service)
                           : 0.0;
--- a/source/core/pipeline/route_filter.h
+++ b/source/core/pipeline/route_filter.h
@@ -5,6 +5,7 @@
 #define BULRUSHMOUNT_CORE_PIPELINE_ROUTE_FILTER_H_
 
 #include "core/pipeline/call_pipeline.h"
+#include "core/pipeline/caller_patience.h"
 #include "core/pipeline/filter.h"
 #include "core/routes/route_table.h"
 
@@ -23,6 +24,7 @@
  private:
   RouteTable& m_routes;
   CallPipeline& m_pipeline;
+  CallerPatience m_patience;
 };
 
 }  // namespace bulrushmount
