Weigh the bytes of an answer between zones as a wait

Ruled out: too few targets near (one a zone, a tenth of their slots in use).

Change: an entry learns how large the answers of a kind are and how soon they begin. A new setting says what a kilobyte between zones is worth in waiting; the picker adds it to a far target's way, and the near owner may keep a request that long for a start that is not slow, but never longer than another attempt needs to be in time.

--- a/source/core/admission/admission.cc
+++ b/source/core/admission/admission.cc
@@ -20,6 +20,13 @@
   return now + *request.objective_left;
 }
 
+std::optional<TimePoint> HoldEndOf(TimePoint now,
+                                   const AdmissionRequest& request) {
+  if (request.max_hold <= Duration::zero())
+    return std::nullopt;
+  return now + request.max_hold;
+}
+
 // What the request would have taken on an undisturbed target.
 Duration UsualTime(Duration elapsed, double slowdown) {
   return FromSeconds(ToSeconds(elapsed) / slowdown);
@@ -78,6 +85,7 @@
                     .share = request.share,
                     .deadline = now + request.time_left,
                     .patience_ends = now + PatienceOf(request),
+                    .hold_ends = HoldEndOf(now, request),
                     .objective = ObjectiveOf(now, request),
                     .is_suspect = request.is_suspect};
   m_queue.Push(request.rank, std::move(queued),
@@ -263,6 +271,8 @@
   for (const QueuedWork& work : m_queue.works()) {
     const Duration wait = ExpectedWait(release_rate, ahead++);
     wakeup = std::min(wakeup, LatestStart(work) - wait);
+    if (work.hold_ends)
+      wakeup = std::min(wakeup, *work.hold_ends);
   }
   m_next_wakeup = std::max(wakeup, now + kMinTimerStep);
 }
@@ -319,6 +329,8 @@
                                              Duration wait) const {
   if (work.deadline <= now)
     return Reason::kDeadlineTooShort;
+  if (work.hold_ends && *work.hold_ends <= now)
+    return Reason::kSlowTarget;
   // An idle target takes any request, else figures from a slow spell could
   // turn everything away and never be corrected.
   if (m_running.empty() && wait == Duration::zero() && !IsDisturbed())
--- a/source/core/admission/admission.h
+++ b/source/core/admission/admission.h
@@ -33,6 +33,9 @@
   Duration time_left{};
   // Until the answer is worth little; empty if it never is.
   std::optional<Duration> objective_left{};
+  // Refused if it has not started by then, since it can be in time elsewhere;
+  // 0: it may wait as long as others.
+  Duration max_hold{};
   // The entry will not send it elsewhere if it is refused here.
   bool is_last_attempt = false;
   // At most one suspect of crashing its target runs at a time.
--- a/source/core/admission/admission_queue.h
+++ b/source/core/admission/admission_queue.h
@@ -30,6 +30,8 @@
   TimePoint deadline;
   // Waits no longer than this, whatever the deadline.
   TimePoint patience_ends;
+  // Refused from then on; empty if it may wait as long as others.
+  std::optional<TimePoint> hold_ends{};
   // An answer after this is worth little; empty if none is better than another.
   std::optional<TimePoint> objective{};
   // It can no longer be answered by its objective.
--- a/source/core/node_logic/call_types.h
+++ b/source/core/node_logic/call_types.h
@@ -58,6 +58,9 @@
   // The owner refuses if the target would take longer than this multiple of
   // its usual time: the entry hopes for a faster one. 0: takes any.
   double max_slowdown = 0;
+  // How long the owner may keep the request for a start that is not slow,
+  // before it refuses.
+  Duration max_hold{};
   // What is left until an answer is worth little; empty if it never is.
   std::optional<Duration> objective_left{};
 };
--- a/source/core/node_logic/entry_side.cc
+++ b/source/core/node_logic/entry_side.cc
@@ -22,6 +22,8 @@
 DispatcherSettings MakeDispatcherSettings(const NodeSettings& settings) {
   DispatcherSettings dispatcher;
   dispatcher.self = settings.id;
+  dispatcher.zone = settings.zone;
+  dispatcher.zone_kilobyte = settings.zone_kilobyte;
   dispatcher.max_attempts = settings.max_attempts;
   dispatcher.is_refusal_free = settings.is_refusal_free;
   dispatcher.choosy_attempts = settings.choosy_attempts;
--- a/source/core/node_logic/events.h
+++ b/source/core/node_logic/events.h
@@ -60,6 +60,8 @@
   LoadReport load;
   // Empty if no copy was asked for, or the body was too large.
   std::optional<KeptAnswer> kept;
+  // Of its body.
+  std::uint64_t bytes = 0;
 };
 
 // The attempt broke off without a refusal or a whole answer.
--- a/source/core/node_logic/node_settings.h
+++ b/source/core/node_logic/node_settings.h
@@ -47,6 +47,9 @@
   // availability zone, and in another region. The picker weighs them against
   // the load it expects.
   Duration zone_round_trip = std::chrono::milliseconds(1);
+  // What a kilobyte between availability zones costs, as the wait that a caller
+  // would have instead; 0 where such bytes are free.
+  Duration zone_kilobyte{};
   Duration region_round_trip = std::chrono::milliseconds(30);
 
   // A target's cold start, over which its share of picks rises.
--- a/source/core/node_logic/owner_side.cc
+++ b/source/core/node_logic/owner_side.cc
@@ -105,8 +105,10 @@
 void OwnerSide::Admit(TimePoint now, WorkId id) {
   const OwnedWork& work = m_works.at(id);
   const WorkHead& head = work.head;
-  if (head.max_slowdown > 0 &&
-      EstimateSlowdown(ConditionsOf(head.priority)) > head.max_slowdown) {
+  const bool is_too_slow =
+      head.max_slowdown > 0 &&
+      EstimateSlowdown(ConditionsOf(head.priority)) > head.max_slowdown;
+  if (is_too_slow && head.max_hold <= Duration::zero()) {
     RefuseAdmitted(now, id, Reason::kSlowTarget);
     return;
   }
@@ -119,6 +121,8 @@
   request.time_left = work.deadline - now;
   if (head.objective_left)
     request.objective_left = *head.objective_left - (now - work.arrived_at);
+  if (is_too_slow)
+    request.max_hold = head.max_hold;
   request.is_suspect = head.is_suspect;
   request.is_last_attempt = head.is_last_attempt;
   Apply(now, m_admission.Arrive(now, id, request));
--- a/source/core/pipeline/dispatcher.cc
+++ b/source/core/pipeline/dispatcher.cc
@@ -14,6 +14,13 @@
 
 constexpr int kFirstServerError = 500;
 
+// What an attempt elsewhere is given, as a multiple of the mean time: half of
+// it more, since times spread and a further attempt may be needed.
+constexpr double kRoomToSpare = 1.6;
+
+// Shorter holds end before anything at the target could change.
+constexpr Duration kLeastHold = std::chrono::milliseconds(20);
+
 // Whether the request reached a target, although that did not run it.
 bool HasArrived(Reason reason) {
   return reason == Reason::kShed || reason == Reason::kWrongTarget;
@@ -76,6 +83,8 @@
   if (!call || !call->attempt->is_answer_begun)
     return;
   m_parts.router.OnEnded(now, call->attempt->dispatch, event.load);
+  m_profiles.OnAnswer(call->terms.kind.name, event.bytes,
+                      *call->answer_begun_at - call->attempt->dispatch.sent_at);
   EndAttempt(now, *call, false, true);
   CallEnd end;
   end.outcome = Outcome::kAnswered;
@@ -168,7 +177,7 @@
       return best;
   }
   const PickRequest request{call.terms.kind.weight, call.deadline - now,
-                            call.tried};
+                            call.tried, ZoneTransfer(call)};
   const std::optional<NodeId> picked =
       m_parts.router.Pick(now, call.head.service, request, m_parts.random);
   if (!picked)
@@ -212,7 +221,7 @@
   m_parts.router.OnSent(attempt.dispatch);
   m_parts.actions.Push(DispatchAttempt{call.id, attempt.number, owner.id,
                                        owner.stream_endpoint,
-                                       MakeWorkHead(now, call)});
+                                       MakeWorkHead(now, call, owner)});
 }
 
 bool Dispatcher::ReserveRetry(TimePoint now, const Call& call) {
@@ -224,7 +233,32 @@
          (m_settings.is_refusal_free || m_parts.retries.Reserve(now, service));
 }
 
-WorkHead Dispatcher::MakeWorkHead(TimePoint now, const Call& call) const {
+Duration Dispatcher::ZoneTransfer(const Call& call) const {
+  const double kilobytes = m_profiles.BodyBytes(call.terms.kind.name) / 1000;
+  return FromSeconds(kilobytes * ToSeconds(m_settings.zone_kilobyte));
+}
+
+// Load pattern: the target in this zone is disturbed for some hundred
+// milliseconds. A large answer from elsewhere costs more than the wait for the
+// end of that, so the owner may keep its request as long as another attempt
+// would still be in time with room to spare.
+Duration Dispatcher::MaxHold(TimePoint now,
+                             const Call& call,
+                             const Member& owner) const {
+  if (owner.zone != m_settings.zone || !call.attempt->is_choosy)
+    return Duration::zero();
+  const Duration objective_left = call.terms.kind.objective.within -
+                                  call.waited_before - (now - call.arrived_at);
+  const Duration needed_elsewhere = FromSeconds(
+      kRoomToSpare * ToSeconds(m_profiles.FirstByte(call.terms.kind.name)));
+  const Duration hold =
+      std::min(ZoneTransfer(call), objective_left - needed_elsewhere);
+  return hold >= kLeastHold ? hold : Duration::zero();
+}
+
+WorkHead Dispatcher::MakeWorkHead(TimePoint now,
+                                  const Call& call,
+                                  const Member& owner) const {
   WorkHead head;
   head.request_id = call.head.request_id;
   head.entry = m_settings.self;
@@ -247,6 +281,7 @@
   head.max_slowdown = call.attempt->is_choosy
                           ? m_hopes.Acceptable(now, call.head.service)
                           : 0.0;
+  head.max_hold = MaxHold(now, call, owner);
   return head;
 }
 
--- a/source/core/pipeline/dispatcher.h
+++ b/source/core/pipeline/dispatcher.h
@@ -12,6 +12,7 @@
 #include "core/membership/member.h"
 #include "core/node_logic/actions.h"
 #include "core/node_logic/events.h"
+#include "core/pipeline/answer_profiles.h"
 #include "core/pipeline/call_pipeline.h"
 #include "core/pipeline/start_hopes.h"
 #include "core/routing/retry_budget.h"
@@ -38,6 +39,9 @@
 
 struct DispatcherSettings {
   NodeId self;
+  AvailabilityZone zone;
+  // See NodeSettings.
+  Duration zone_kilobyte{};
   std::uint32_t max_attempts = 4;
   // See NodeSettings.
   bool is_refusal_free = false;
@@ -91,7 +95,12 @@
   // Sets a retry aside for the attempt about to be sent, where another target
   // could take it; EndAttempt spends or returns it.
   bool ReserveRetry(TimePoint now, const Call& call);
-  WorkHead MakeWorkHead(TimePoint now, const Call& call) const;
+  WorkHead MakeWorkHead(TimePoint now,
+                        const Call& call,
+                        const Member& owner) const;
+  // What the answer's bytes would cost between zones, as a wait.
+  Duration ZoneTransfer(const Call& call) const;
+  Duration MaxHold(TimePoint now, const Call& call, const Member& owner) const;
   // Whether an attempt whose outcome is unknown may be followed by another.
   bool MaySendUnknown(const Call& call, Reason reason) const;
   // Takes the call's attempt away. True if the call is to be sent again: the
@@ -109,6 +118,7 @@
   DispatcherSettings m_settings;
   Parts m_parts;
   StartHopes m_hopes;
+  AnswerProfiles m_profiles;
 };
 
 }  // namespace bulrushmount
--- a/source/core/routing/power_of_choices_picker.cc
+++ b/source/core/routing/power_of_choices_picker.cc
@@ -89,7 +89,7 @@
   std::optional<NodeId> best;
   double best_score = std::numeric_limits<double>::infinity();
   const auto consider = [&](const Target& target) {
-    const double score = ScoreOf(now, target, request.weight);
+    const double score = ScoreOf(now, target, request);
     if (score >= best_score)
       return;
     best_score = score;
@@ -286,17 +286,26 @@
   return std::max(1.0, limit) * std::clamp(warm, kColdFraction, 1.0);
 }
 
+double PowerOfChoicesPicker::WayOf(const Target& target,
+                                   const PickRequest& request) const {
+  const ZoneDistance distance = target.candidate.distance;
+  const double round_trip =
+      ToSeconds(m_settings.round_trip[static_cast<std::size_t>(distance)]);
+  return distance == ZoneDistance::kSameZone
+             ? round_trip
+             : round_trip + ToSeconds(request.zone_transfer);
+}
+
 double PowerOfChoicesPicker::ScoreOf(TimePoint now,
                                      const Target& target,
-                                     double weight) const {
+                                     const PickRequest& request) const {
   const double capacity = CapacityOf(now, target);
   const double service = ServiceTimeOf(now, target) * SlowdownOf(now, target);
   const double utilisation = (LoadOf(now, target) + 1) / capacity;
   const double wait = service * std::max(0.0, utilisation - 1);
   const double crowding = service * CrowdingOf(utilisation);
-  const auto distance = static_cast<std::size_t>(target.candidate.distance);
-  const double way = ToSeconds(m_settings.round_trip[distance]);
-  const double score = way + service * weight + wait + crowding;
+  const double score =
+      WayOf(target, request) + service * request.weight + wait + crowding;
   // Added, and in terms of the usual time: a target that fails in no time has a
   // score near 0, which no factor makes bad.
   const double failing =
--- a/source/core/routing/power_of_choices_picker.h
+++ b/source/core/routing/power_of_choices_picker.h
@@ -92,7 +92,10 @@
   double FailureOf(TimePoint now, const Target& target) const;
   double SlowdownOf(TimePoint now, const Target& target) const;
   double CapacityOf(TimePoint now, const Target& target) const;
-  double ScoreOf(TimePoint now, const Target& target, double weight) const;
+  double WayOf(const Target& target, const PickRequest& request) const;
+  double ScoreOf(TimePoint now,
+                 const Target& target,
+                 const PickRequest& request) const;
   double MeanGain() const;
 
   PowerOfChoicesSettings m_settings;
--- a/source/core/routing/target_picker.h
+++ b/source/core/routing/target_picker.h
@@ -43,6 +43,9 @@
   Duration time_left{};
   // Owners that this call has tried before. Must outlive the call of `Pick`.
   std::span<const NodeId> excluded{};
+  // What the bytes of the answer cost between availability zones, as the wait
+  // that would be as bad.
+  Duration zone_transfer{};
 };
 
 // One attempt on its way. The caller of the picker keeps it and hands it back
--- a/source/core/settings/daemon_settings.cc
+++ b/source/core/settings/daemon_settings.cc
@@ -189,6 +189,9 @@
   Assign(ReadDuration(map.Optional("zone_round_trip"),
                       {Duration(0), seconds(1)}, faults),
          settings.zone_round_trip);
+  Assign(ReadDuration(map.Optional("zone_kilobyte"), {Duration(0), seconds(1)},
+                      faults),
+         settings.zone_kilobyte);
   Assign(ReadDuration(map.Optional("region_round_trip"),
                       {Duration(0), seconds(10)}, faults),
          settings.region_round_trip);
--- a/source/core/transport/entry_calls.cc
+++ b/source/core/transport/entry_calls.cc
@@ -250,8 +250,9 @@
     Do(BreakAnswer{id});
     return;
   }
-  AttemptAnswerEnded ended{id, number, attempt->answer_load, std::nullopt};
   Call& call = *Find(id);
+  AttemptAnswerEnded ended{id, number, attempt->answer_load, std::nullopt,
+                           call.pump->moved()};
   if (call.copy) {
     if (std::optional<std::string> kept = call.copy->TakeCopy())
       ended.kept = KeptAnswer{call.content_type, std::move(*kept)};
--- a/source/core/transport/node_stream_codec.cc
+++ b/source/core/transport/node_stream_codec.cc
@@ -31,6 +31,7 @@
 constexpr std::string_view kPriority = "bulrushmount-priority";
 constexpr std::string_view kObjectiveLeft = "bulrushmount-objective-left-us";
 constexpr std::string_view kMaxSlowdown = "bulrushmount-max-slowdown";
+constexpr std::string_view kMaxHold = "bulrushmount-max-hold-us";
 constexpr std::string_view kBody = "bulrushmount-body";
 constexpr std::string_view kControl = "bulrushmount-control";
 constexpr std::string_view kVerdict = "bulrushmount-verdict";
@@ -227,6 +228,8 @@
     return Parse(field.value, work.priority);
   } else if (name == kObjectiveLeft) {
     return DecodeTimeLeft(field.value, work.objective_left.emplace());
+  } else if (name == kMaxHold) {
+    return DecodeTimeLeft(field.value, work.max_hold);
   } else if (name == kMaxSlowdown) {
     return Parse(field.value, work.max_slowdown) && work.max_slowdown >= 0 &&
            work.max_slowdown <= kMaxFactor;
@@ -321,6 +324,11 @@
   if (work.max_slowdown > 0) {
     Add(fields, kMaxSlowdown, fmt::format("{}", work.max_slowdown));
   }
+  if (work.max_hold > Duration::zero()) {
+    const auto max_hold =
+        std::chrono::duration_cast<std::chrono::microseconds>(work.max_hold);
+    Add(fields, kMaxHold, std::to_string(max_hold.count()));
+  }
   Add(fields, kBody, EncodeShape(request.shape));
   if (!request.control.empty()) {
     Add(fields, kControl, request.control);
