Keep a target uncrowded until trials have shown that it has no knee

Cause: after a restart of all, what was learnt of the knee is gone; targets that are cold (twice their time) were filled to their slots, which the knee made 1.7 times slower again.

Ruled out: late starts of the nodes (all had their configuration at 33.3 s).

Change: while a knee is neither known nor excluded the limit stays below it, and one start in eight answers goes one above to find out. Doubt after a minute is settled the same way.

--- a/source/core/admission/knee_limit.cc
+++ b/source/core/admission/knee_limit.cc
@@ -22,6 +22,10 @@
 // A known knee is doubted after this long without crowded answers, since none
 // come while the limit keeps the target uncrowded.
 constexpr Duration kDoubtAfter = std::chrono::seconds(60);
+// While it is not known whether there is a knee: uncrowded answers to each
+// start that crowds the target. Of eight requests one is then slower at the
+// worst, and what is to be known takes some eighty answers.
+constexpr std::uint32_t kAnswersToATrial = 8;
 // Kinds come from the operator; more than this are not looked at.
 constexpr std::size_t kMaxKinds = 256;
 
@@ -46,8 +50,10 @@
     kind.log_usual +=
         GainOf(kUsualGain, kind.answers) * (std::log(seconds) - kind.log_usual);
     ++kind.answers;
+    ++m_answers_since_trial;
     return;
   }
+  m_answers_since_trial = 0;
   if (kind.answers < kLeastUsual)
     return;
   if (now - m_learnt_at > kDoubtAfter)
@@ -63,7 +69,17 @@
     kind.crowded_answers = 0;
 }
 
+bool KneeLimit::IsKnown() const {
+  return std::any_of(m_kinds.begin(), m_kinds.end(), [](const auto& entry) {
+    return entry.second.crowded_answers >= kLeastCrowded;
+  });
+}
+
 std::uint32_t KneeLimit::limit() const {
+  if (!IsKnown()) {
+    const bool is_trial = m_answers_since_trial >= kAnswersToATrial;
+    return std::min(m_slots, uncrowded() + (is_trial ? 1 : 0));
+  }
   // Fewer requests at a time get more done once the rest would take longer than
   // the slots that are given up are worth.
   return crowding() * kCrowdedFrom > 1.0 ? uncrowded() : m_slots;
--- a/source/core/admission/knee_limit.h
+++ b/source/core/admission/knee_limit.h
@@ -5,6 +5,11 @@
 // target then take much longer for each request (a knee): nine slots at 1.7
 // times the usual time get less done than seven at the usual one. Others do
 // not, and staying below would waste a fifth of them.
+//
+// While nothing is known a target is kept uncrowded but for a trial now and
+// then. Filling it until a knee is known costs most after a restart of all,
+// when targets are cold and as many come as ever: everything is then slow twice
+// over and nothing in time.
 
 #ifndef BULRUSHMOUNT_CORE_ADMISSION_KNEE_LIMIT_H_
 #define BULRUSHMOUNT_CORE_ADMISSION_KNEE_LIMIT_H_
@@ -20,7 +25,8 @@
  public:
   void SetSlots(std::uint32_t slots) override;
   void OnAnswer(TimePoint now, const LatencySample& sample) override;
-  // The slots, or `uncrowded()` while a knee is known.
+  // The slots if there is no knee, else `uncrowded()`; while that is not known,
+  // one more than that in some starts.
   std::uint32_t limit() const override;
 
   // Requests that run without crowding the target; at least 1 with any slot.
@@ -32,6 +38,7 @@
   double crowding() const;
 
  private:
+  bool IsKnown() const;
   void ForgetCrowding();
 
   std::uint32_t m_slots = 0;
@@ -49,6 +56,8 @@
 
   std::unordered_map<KindName, Kind> m_kinds;
   TimePoint m_learnt_at;
+  // Uncrowded answers since the last crowded one.
+  std::uint32_t m_answers_since_trial = 0;
 };
 
 }  // namespace bulrushmount
