Accept a start that is hardly worse than the best that owners told

Cause: an entry measured a start by a warm and free target. Where all are cold or crowded each call asked four owners in vain (pre-start hops of lookups p90 298 ms in the seconds after a restart of all).

Change: what owners told of late, with every answer and refusal, says what the best start is; a tenth worse is accepted, once as many have told as a call would ask.

--- a/source/core/pipeline/dispatcher.cc
+++ b/source/core/pipeline/dispatcher.cc
@@ -48,6 +48,7 @@
   m_parts.router.OnRefused(now, call->attempt->dispatch, event.reason,
                            event.load);
   call->last_refusal = event.reason;
+  NoteTold(now, *call, event.load);
   const bool has_arrived = HasArrived(event.reason);
   if (has_arrived)
     ++call->hand_overs;
@@ -68,6 +69,7 @@
     return;
   m_parts.router.OnAnswerBegun(now, call->attempt->dispatch, event.load,
                                QualityOf(event.status));
+  NoteTold(now, *call, event.load);
   m_parts.pipeline.DisarmDeadline(*call);
   call->attempt->is_answer_begun = true;
   call->answer_begun_at = now;
@@ -97,6 +99,15 @@
   m_parts.pipeline.End(now, call->id, end);
 }
 
+// An owner without a target that takes work tells of no start.
+void Dispatcher::NoteTold(TimePoint now,
+                          const Call& call,
+                          const LoadReport& load) {
+  if (load.limit > 0)
+    m_hopes.OnTold(now, call.head.service, call.attempt->dispatch.node,
+                   load.slowdown);
+}
+
 void Dispatcher::OnLost(TimePoint now, const AttemptLost& event) {
   Call* call = FindAttempt(event.call, event.attempt);
   if (!call)
@@ -256,6 +267,12 @@
   return hold >= kLeastHold ? hold : Duration::zero();
 }
 
+double Dispatcher::AcceptableSlowdown(TimePoint now, const Call& call) const {
+  const std::size_t enough = std::min<std::size_t>(
+      m_parts.router.TargetsOf(call.head.service), m_settings.choosy_attempts);
+  return m_hopes.Acceptable(now, call.head.service, enough);
+}
+
 WorkHead Dispatcher::MakeWorkHead(TimePoint now,
                                   const Call& call,
                                   const Member& owner) const {
@@ -278,9 +295,8 @@
   if (m_settings.has_objectives)
     head.objective_left = call.terms.kind.objective.within -
                           call.waited_before - (now - call.arrived_at);
-  head.max_slowdown = call.attempt->is_choosy
-                          ? m_hopes.Acceptable(now, call.head.service)
-                          : 0.0;
+  head.max_slowdown =
+      call.attempt->is_choosy ? AcceptableSlowdown(now, call) : 0.0;
   head.max_hold = MaxHold(now, call, owner);
   return head;
 }
--- a/source/core/pipeline/dispatcher.h
+++ b/source/core/pipeline/dispatcher.h
@@ -98,6 +98,8 @@
   WorkHead MakeWorkHead(TimePoint now,
                         const Call& call,
                         const Member& owner) const;
+  void NoteTold(TimePoint now, const Call& call, const LoadReport& load);
+  double AcceptableSlowdown(TimePoint now, const Call& call) const;
   // What the answer's bytes would cost between zones, as a wait.
   Duration ZoneTransfer(const Call& call) const;
   Duration MaxHold(TimePoint now, const Call& call, const Member& owner) const;
