--- a/source/core/node_logic/entry_side.cc
+++ b/source/core/node_logic/entry_side.cc
@@ -26,7 +26,11 @@
   dispatcher.zone_kilobyte = settings.zone_kilobyte;
   dispatcher.max_attempts = settings.max_attempts;
   dispatcher.is_refusal_free = settings.is_refusal_free;
-  dispatcher.choosy_attempts = settings.choosy_attempts;
+  const PolicySwitches& policies = settings.policies;
+  dispatcher.choosy_attempts =
+      policies.choosy_starts ? settings.choosy_attempts : 0;
+  dispatcher.accepts_hardly_worse = policies.best_told_starts;
+  dispatcher.leaves_silent_owners = policies.leave_silent;
   dispatcher.has_objectives = settings.has_route_document;
   return dispatcher;
 }
@@ -54,8 +58,9 @@
           MakeDispatcherSettings(settings),
           Dispatcher::Parts{m_pipeline, parts.router, *m_retries, parts.claims,
                             parts.owners, parts.random, parts.actions}),
-      m_has_route_document(settings.has_route_document) {
-  AddFilters();
+      m_has_route_document(settings.has_route_document),
+      m_advises_return(settings.policies.return_advice) {
+  AddFilters(settings);
 }
 
 void EntrySide::OnCallArrived(TimePoint now, CallArrived event) {
@@ -65,9 +70,9 @@
     return;
   m_last_arrival = now;
   if (now >= m_refuse_from) {
-    m_parts.actions.Push(
-        AnswerCaller{event.call, Outcome::kNotRun, Reason::kDraining,
-                     AdviseReturn(Reason::kDraining, m_parts.random)});
+    m_parts.actions.Push(AnswerCaller{event.call, Outcome::kNotRun,
+                                      Reason::kDraining,
+                                      AdviceFor(Reason::kDraining)});
     return;
   }
   m_pipeline.Start(now, event.call, std::move(event.head));
@@ -99,10 +104,10 @@
 
 // What is cheap and certain goes first; what takes something that has to be
 // given back, or costs a write to the table, goes last.
-void EntrySide::AddFilters() {
+void EntrySide::AddFilters(const NodeSettings& settings) {
   if (m_has_route_document) {
-    m_pipeline.AddFilter(
-        std::make_unique<RouteFilter>(m_parts.routes, m_pipeline));
+    m_pipeline.AddFilter(std::make_unique<RouteFilter>(
+        m_parts.routes, m_pipeline, settings.policies.caller_patience));
   } else {
     m_pipeline.AddFilter(
         std::make_unique<ContractFilter>(m_parts.contracts, m_pipeline));
@@ -128,8 +133,13 @@
     m_parts.actions.Push(BreakAnswer{call.id});
   else
     m_parts.actions.Push(
-        AnswerCaller{call.id, end.outcome, end.reason,
-                     AdviseReturn(end.reason, m_parts.random)});
+        AnswerCaller{call.id, end.outcome, end.reason, AdviceFor(end.reason)});
+}
+
+std::optional<Duration> EntrySide::AdviceFor(Reason reason) const {
+  if (!m_advises_return)
+    return std::nullopt;
+  return AdviseReturn(reason, m_parts.random);
 }
 
 void EntrySide::Record(TimePoint now, const Call& call, const CallEnd& end) {
--- a/source/core/node_logic/entry_side.h
+++ b/source/core/node_logic/entry_side.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 
 #include "core/claims/claim_book.h"
 #include "core/common/random.h"
@@ -69,7 +70,9 @@
   void OnPermitLost(TimePoint now, Call& call) override;
   void OnCallEnded(TimePoint now, Call& call, const CallEnd& end) override;
 
-  void AddFilters();
+  void AddFilters(const NodeSettings& settings);
+  // When the refused caller had best come back; empty: as the reason says.
+  std::optional<Duration> AdviceFor(Reason reason) const;
   void Answer(const Call& call, const CallEnd& end);
   void Record(TimePoint now, const Call& call, const CallEnd& end);
 
@@ -78,6 +81,7 @@
   CallPipeline m_pipeline;
   Dispatcher m_dispatcher;
   bool m_has_route_document = false;
+  bool m_advises_return = true;
   TimePoint m_refuse_from = TimePoint::max();
   TimePoint m_ends_at = TimePoint::max();
   TimePoint m_last_arrival = TimePoint::min();
--- a/source/core/node_logic/node_settings.h
+++ b/source/core/node_logic/node_settings.h
@@ -11,6 +11,7 @@
 #include "core/common/endpoint.h"
 #include "core/common/ids.h"
 #include "core/common/time.h"
+#include "core/node_logic/policy_switches.h"
 
 namespace bulrushmount {
 
@@ -80,6 +81,8 @@
   // found; 0 where targets do not tell their speed.
   std::uint32_t choosy_attempts = 0;
 
+  PolicySwitches policies;
+
   // Arrivals at targets beyond the first of each request, over the whole fleet
   // and any window of this length: a fraction of the requests (above) and this
   // many more.
--- a/source/core/node_logic/owner_policies.cc
+++ b/source/core/node_logic/owner_policies.cc
@@ -39,11 +39,21 @@
 // how they take a crowd.
 std::unique_ptr<ConcurrencyLimit> MakeConcurrencyLimit(
     const NodeSettings& settings) {
+  if (settings.choosy_attempts > 0 && !settings.policies.knee_limit)
+    return std::make_unique<FixedLimit>();
   if (settings.choosy_attempts > 0)
     return std::make_unique<KneeLimit>();
   return std::make_unique<AdaptiveLimit>(AdaptiveLimitSettings());
 }
 
+AdmissionSettings AdmissionSettingsOf(const NodeSettings& settings) {
+  AdmissionSettings admission;
+  admission.expects_spread = settings.policies.likely_times;
+  if (!settings.policies.hold_disturbed)
+    admission.hold_from_slowdown = std::numeric_limits<double>::infinity();
+  return admission;
+}
+
 TargetLifeSettings LifeSettingsOf(const NodeSettings& settings) {
   TargetLifeSettings life;
   life.warmup = settings.warmup;
--- a/source/core/node_logic/owner_policies.h
+++ b/source/core/node_logic/owner_policies.h
@@ -6,6 +6,7 @@
 
 #include <memory>
 
+#include "core/admission/admission.h"
 #include "core/admission/concurrency_limit.h"
 #include "core/node_logic/node_settings.h"
 #include "core/target_state/target_life.h"
@@ -16,6 +17,9 @@
 std::unique_ptr<ConcurrencyLimit> MakeConcurrencyLimit(
     const NodeSettings& settings);
 
+// How works wait for the target.
+AdmissionSettings AdmissionSettingsOf(const NodeSettings& settings);
+
 // What takes the target out of service, and for how long.
 TargetLifeSettings LifeSettingsOf(const NodeSettings& settings);
 
--- a/source/core/node_logic/owner_side.cc
+++ b/source/core/node_logic/owner_side.cc
@@ -37,9 +37,11 @@
       m_metrics(metrics),
       m_actions(actions),
       m_life(LifeSettingsOf(settings)),
-      m_admission(AdmissionSettings(), MakeConcurrencyLimit(settings)),
+      m_admission(AdmissionSettingsOf(settings),
+                  MakeConcurrencyLimit(settings)),
       m_inquiry(routes, actions),
-      m_needs_crash(settings.needs_crash_to_suspect) {}
+      m_needs_crash(settings.needs_crash_to_suspect),
+      m_has_ranks(settings.policies.ranks) {}
 
 void OwnerSide::NoteEnd(TimePoint now,
                         const OwnedWork& work,
@@ -107,7 +109,7 @@
   const WorkHead& head = work.head;
   const bool is_too_slow =
       head.max_slowdown > 0 &&
-      EstimateSlowdown(ConditionsOf(head.priority)) > head.max_slowdown;
+      EstimateSlowdown(ConditionsOf(RankOf(head))) > head.max_slowdown;
   if (is_too_slow && head.max_hold <= Duration::zero()) {
     RefuseAdmitted(now, id, Reason::kSlowTarget);
     return;
@@ -117,7 +119,7 @@
   request.kind = head.kind;
   request.weight = head.weight;
   request.share = head.share;
-  request.rank = head.priority;
+  request.rank = RankOf(head);
   request.time_left = work.deadline - now;
   if (head.objective_left)
     request.objective_left = *head.objective_left - (now - work.arrived_at);
--- a/source/core/node_logic/owner_side.h
+++ b/source/core/node_logic/owner_side.h
@@ -80,6 +80,9 @@
   void ReleaseHeld(TimePoint now);
   // The target's speed is as known as it gets.
   void Admit(TimePoint now, WorkId id);
+  Rank RankOf(const WorkHead& head) const {
+    return m_has_ranks ? head.priority : 0;
+  }
   StartConditions Conditions() const;
   // As a request of this rank meets them.
   StartConditions ConditionsOf(Rank rank) const;
@@ -133,6 +136,8 @@
   std::uint64_t m_ordinal = 0;
   InstanceId m_instance;
   std::optional<ProcessStart> m_process_started;
+  // The operator's ranks of routes count.
+  bool m_has_ranks = true;
   bool m_needs_crash = false;
   BrokenExchanges m_broken;
 
--- a/source/core/pipeline/dispatcher.cc
+++ b/source/core/pipeline/dispatcher.cc
@@ -3,6 +3,8 @@
 #include "core/pipeline/dispatcher.h"
 
 #include <algorithm>
+#include <cstddef>
+#include <limits>
 #include <optional>
 #include <utility>
 
@@ -155,8 +157,8 @@
   const bool is_any_left =
       call.tried.size() < m_parts.router.TargetsOf(call.head.service) ||
       !call.offers.empty();
-  return m_settings.is_refusal_free && is_any_left &&
-         MaySendUnknown(call, Reason::kNodeLost);
+  return m_settings.leaves_silent_owners && m_settings.is_refusal_free &&
+         is_any_left && MaySendUnknown(call, Reason::kNodeLost);
 }
 
 void Dispatcher::OnStalled(TimePoint now, CallId id) {
@@ -300,8 +302,11 @@
 }
 
 double Dispatcher::AcceptableSlowdown(TimePoint now, const Call& call) const {
-  const std::size_t enough = std::min<std::size_t>(
-      m_parts.router.TargetsOf(call.head.service), m_settings.choosy_attempts);
+  const std::size_t enough =
+      m_settings.accepts_hardly_worse
+          ? std::min<std::size_t>(m_parts.router.TargetsOf(call.head.service),
+                                  m_settings.choosy_attempts)
+          : std::numeric_limits<std::size_t>::max();
   return m_hopes.Acceptable(now, call.head.service, enough);
 }
 
--- a/source/core/pipeline/dispatcher.h
+++ b/source/core/pipeline/dispatcher.h
@@ -50,6 +50,9 @@
   // Owners that are asked for a fast start before the call takes the least
   // slow one that was found; 0: any start will do. Each costs a round trip.
   std::uint32_t choosy_attempts = 0;
+  // See PolicySwitches.
+  bool accepts_hardly_worse = true;
+  bool leaves_silent_owners = true;
   // Answers up to this size are kept for the repeats of a keyed request.
   std::size_t max_kept_answer_bytes = std::size_t{16} * 1024;
 };
--- a/source/core/pipeline/route_filter.cc
+++ b/source/core/pipeline/route_filter.cc
@@ -28,7 +28,7 @@
   call.deadline =
       now + std::min(call.head.deadline.value_or(route.timeout), route.timeout);
   m_pipeline.ArmDeadline(call);
-  if (call.head.deadline)
+  if (m_tells_returns && call.head.deadline)
     call.waited_before =
         m_patience.WaitedBefore(now, route.name, *call.head.deadline);
   return PassCall{};
--- a/source/core/pipeline/route_filter.h
+++ b/source/core/pipeline/route_filter.h
@@ -13,9 +13,12 @@
 
 class RouteFilter : public CallFilter {
  public:
-  // Both must outlive the object.
-  RouteFilter(RouteTable& routes, CallPipeline& pipeline)
-      : m_routes(routes), m_pipeline(pipeline) {}
+  // Both must outlive the object. `tells_returns`: callers that have come back
+  // are told from new ones.
+  RouteFilter(RouteTable& routes, CallPipeline& pipeline, bool tells_returns)
+      : m_routes(routes),
+        m_pipeline(pipeline),
+        m_tells_returns(tells_returns) {}
 
   // A node that knows no document yet refuses for now; only one that does may
   // say that there is no such route.
@@ -24,6 +27,7 @@
  private:
   RouteTable& m_routes;
   CallPipeline& m_pipeline;
+  bool m_tells_returns;
   CallerPatience m_patience;
 };
 
--- a/source/core/settings/daemon_settings.cc
+++ b/source/core/settings/daemon_settings.cc
@@ -206,6 +206,27 @@
   map.Finish();
 }
 
+void ReadPolicies(const YamlNode* node,
+                  PolicySwitches& policies,
+                  YamlFaults& faults) {
+  if (node == nullptr)
+    return;
+  YamlMapReader map(*node, faults);
+  const auto read = [&map, &faults](const char* name, bool& is_on) {
+    Assign(ReadBool(map.Optional(name), faults), is_on);
+  };
+  read("knee_limit", policies.knee_limit);
+  read("hold_disturbed", policies.hold_disturbed);
+  read("choosy_starts", policies.choosy_starts);
+  read("best_told_starts", policies.best_told_starts);
+  read("caller_patience", policies.caller_patience);
+  read("likely_times", policies.likely_times);
+  read("ranks", policies.ranks);
+  read("leave_silent", policies.leave_silent);
+  read("return_advice", policies.return_advice);
+  map.Finish();
+}
+
 std::optional<LogLevel> ReadLogLevel(const YamlNode* node, YamlFaults& faults) {
   const std::optional<std::string> text = ReadText(node, faults);
   if (!text.has_value())
@@ -233,6 +254,7 @@
   ReadTransport(map.Optional("transport"), settings, faults);
   ReadMembership(map.Optional("membership"), settings.node, faults);
   ReadRouting(map.Optional("routing"), settings.node, faults);
+  ReadPolicies(map.Optional("policies"), settings.node.policies, faults);
   ReadShutdown(map.Optional("shutdown"), settings.node, faults);
   ReadTarget(map.Optional("target"), settings.target, faults);
   Assign(ReadLogLevel(map.Optional("log_level"), faults), settings.log_level);
