Split the transport by conversation, and three files that had grown large

core/transport held 37 files for four conversations: callers, peers, targets and operators have a folder each now, with what they share beside them. How answers go out is apart from how requests are read (caller_answers.cc), what a target says of itself apart from the requests for it (owner_target.cc), and the differential test of pipelines has a file of its own.

--- /dev/null
+++ b/source/core/node_logic/owner_target.cc
@@ -0,0 +1,136 @@
+// Part of `owner_side.h`: what the target beside the node says of itself, and
+// what follows for the requests that it may have.
+
+#include "core/common/logging.h"
+#include "core/node_logic/owner_side.h"
+
+namespace bulrushmount::detail {
+
+void OwnerSide::OnAnnounced(TimePoint now, const TargetAnnounced& event) {
+  const bool is_same =
+      m_announced && m_announced->incarnation == event.incarnation;
+  m_announcements.OnAnnounced(now, is_same);
+  m_life.OnAnnounced(
+      now, TargetAnnouncement{event.service, event.slots, event.incarnation,
+                              event.cold_time_left});
+  const bool is_changed = !m_announced || m_announced->slots != event.slots ||
+                          m_announced->connections != event.connections ||
+                          m_announced->incarnation != event.incarnation;
+  m_announced = event;
+  m_endpoint = event.endpoint;
+  if (is_changed)
+    m_is_admitting = false;
+  SyncAdmission(now);
+}
+
+void OwnerSide::OnWithdrawn(TimePoint now) {
+  m_life.OnWithdrawn(now);
+  SyncAdmission(now);
+}
+
+void OwnerSide::OnProbe(TimePoint now, bool is_healthy) {
+  m_life.OnProbe(now, is_healthy);
+  SyncAdmission(now);
+}
+
+void OwnerSide::OnHeartbeat(TimePoint now, const TargetHeartbeat& heartbeat) {
+  // What goes wrong otherwise: two such words would take the place of the
+  // target that is there, which closes that for good.
+  if (m_routes.is_known() && !m_routes.FindService(heartbeat.service)) {
+    LogLine(LogLevel::kWarning, "target.unknown_service")
+        .Add("instance", heartbeat.instance)
+        .Add("service", heartbeat.service);
+    return;
+  }
+  Obey(now, m_gate.OnHeartbeat(now, heartbeat));
+}
+
+void OwnerSide::OnDeparted(TimePoint now, const TargetDeparted& event) {
+  LogLine(LogLevel::kInfo, "target.departed").Add("instance", event.instance);
+  Obey(now, m_gate.OnDeparted(event.instance, event.started));
+}
+
+bool OwnerSide::OnOwnProbe(TimePoint now, const ProbeAnswered& event) {
+  if (!TargetInquiry::IsOwn(event.probe))
+    return false;
+  if (event.figures)
+    TakeFigures(now, *event.figures);
+  if (m_inquiry.IsSpeedProbe(event.probe)) {
+    ReleaseHeld(now);
+    return true;
+  }
+  LogLine(LogLevel::kInfo, "target.probed")
+      .Add("instance", event.instance)
+      .Add("healthy", event.is_healthy);
+  Obey(now, m_gate.OnProbe(event.instance, event.is_healthy));
+  return true;
+}
+
+bool OwnerSide::OnOwnProbe(TimePoint now, const ProbeFailed& event) {
+  if (!TargetInquiry::IsOwn(event.probe))
+    return false;
+  if (m_inquiry.IsSpeedProbe(event.probe)) {
+    ReleaseHeld(now);
+    return true;
+  }
+  const LogLine line(LogLevel::kInfo, "target.probe_failed");
+  Obey(now, m_gate.OnProbeFailed());
+  return true;
+}
+
+void OwnerSide::OnRoutesChanged(TimePoint now) {
+  if (m_gate.candidate())
+    m_inquiry.AskHealth(now, *m_gate.candidate());
+}
+
+void OwnerSide::Obey(TimePoint now, GateVerdict verdict) {
+  switch (verdict) {
+    case GateVerdict::kNone:
+      return;
+    case GateVerdict::kProbe:
+      m_inquiry.AskHealth(now, *m_gate.candidate());
+      return;
+    case GateVerdict::kOpen:
+      OpenGate(now);
+      return;
+    case GateVerdict::kClose:
+      LogLine(LogLevel::kInfo, "target.gate_closed")
+          .Add("instance", m_instance);
+      OnWithdrawn(now);
+      return;
+  }
+}
+
+void OwnerSide::OpenGate(TimePoint now) {
+  const TargetHeartbeat& heartbeat = *m_gate.current();
+  const bool has_restarted = heartbeat.started && m_process_started &&
+                             heartbeat.started != m_process_started;
+  const bool is_new = heartbeat.instance != m_instance || has_restarted;
+  if (is_new) {
+    // The one before it is gone: what broke off at it may have been its end.
+    AccuseBroken(now);
+    m_instance = heartbeat.instance;
+    m_process_started.reset();
+    ++m_ordinal;
+    LogLine(LogLevel::kInfo, "target.gate_opened")
+        .Add("instance", m_instance)
+        .Add("service", heartbeat.service)
+        .Add("slots", heartbeat.slots)
+        .Add("cold_ms", ToMilliseconds(heartbeat.cold_time_left));
+  }
+  if (heartbeat.started)
+    m_process_started = heartbeat.started;
+  if (m_endpoint != heartbeat.endpoint)
+    m_actions.Push(UseTarget{heartbeat.endpoint});
+  const ServiceProfile* const profile = m_routes.FindService(heartbeat.service);
+  TargetAnnounced announced;
+  announced.service = heartbeat.service;
+  announced.endpoint = heartbeat.endpoint;
+  announced.slots = heartbeat.slots;
+  announced.connections = profile ? profile->max_connections : heartbeat.slots;
+  announced.incarnation = Incarnation(m_ordinal);
+  announced.cold_time_left = heartbeat.cold_time_left;
+  OnAnnounced(now, announced);
+}
+
+}  // namespace bulrushmount::detail
--- a/source/core/transport/caller_connection.cc
+++ b/source/core/transport/callers/caller_connection.cc
@@ -1,6 +1,7 @@
-// Part of `caller_connection.h`.
+// Part of `caller_connection.h`: reads requests, and ends the connection. How
+// answers go out is in caller_answers.cc.
 
-#include "core/transport/caller_connection.h"
+#include "core/transport/callers/caller_connection.h"
 
 #include <algorithm>
 #include <chrono>
@@ -11,7 +12,7 @@
 #include <boost/beast/core/string.hpp>
 
 #include "core/common/logging.h"
-#include "core/transport/caller_exchange.h"
+#include "core/transport/callers/caller_exchange.h"
 
 namespace bulrushmount::detail {
 
@@ -348,128 +349,6 @@
   m_acceptor.OnCall(exchange);
 }
 
-// --- Answering --------------------------------------------------------------
-
-bool CallerConnection::IsFront(const Exchange& exchange) const {
-  return m_exchanges.front().get() == &exchange;
-}
-
-// What goes wrong without it: a target breaks off a short answer, the
-// connection must close in the midst of it, and those behind, which sound
-// targets are at work on, lose theirs. A short answer comes at once, so that it
-// is later by nothing that counts.
-bool CallerConnection::MustGather(const Exchange& exchange) const {
-  const BodyShape& shape = exchange.m_answer_head.shape;
-  return m_exchanges.size() > 1 && shape.framing != BodyFraming::kChunked &&
-         shape.length <= kHeldAnswer;
-}
-
-std::shared_ptr<BodySink> CallerConnection::BeginAnswer(
-    const ExchangePtr& exchange,
-    AnswerHead head) {
-  // What is left of the request would be taken for the next one.
-  m_is_last = m_is_last || exchange->HasUnreadBody();
-  exchange->m_answer_head = std::move(head);
-  exchange->m_answer_state = Exchange::AnswerState::kHeld;
-  if (IsFront(*exchange) && !MustGather(*exchange)) {
-    StreamAnswer(*exchange);
-  }
-  return std::make_shared<AnswerSink>(shared_from_this(), exchange);
-}
-
-void CallerConnection::StreamAnswer(Exchange& exchange) {
-  AnswerHead head = std::move(exchange.m_answer_head);
-  const bool is_newest = m_exchanges.back().get() == &exchange;
-  if (m_is_last && is_newest) {
-    head.headers.push_back({"Connection", "close"});
-  }
-  exchange.m_answer_state = Exchange::AnswerState::kStreaming;
-  m_writer->Begin(ToText(head), head.shape);
-  std::string body = std::exchange(exchange.m_answer_body, {});
-  if (body.empty()) {
-    return;
-  }
-  BodySink::WriteCallback waiting =
-      std::exchange(exchange.m_waiting_write, nullptr);
-  m_writer->Write(std::move(body),
-                  [self = shared_from_this(),
-                   waiting = std::move(waiting)](bool is_written) {
-                    if (!is_written) {
-                      self->OnCallerGone();
-                    }
-                    if (waiting) {
-                      waiting(is_written);
-                    }
-                  });
-}
-
-void CallerConnection::WriteWholeAnswer(Exchange& exchange) {
-  StreamAnswer(exchange);
-  m_writer->Finish([self = shared_from_this()](bool is_written) {
-    self->OnAnswered(is_written);
-  });
-}
-
-void CallerConnection::AdvanceFront() {
-  const ExchangePtr front = m_exchanges.front();
-  switch (front->m_answer_state) {
-    case Exchange::AnswerState::kNone:
-      PrepareFront();
-      HandInIfDue();
-      return;
-    case Exchange::AnswerState::kHeld:
-      if (!MustGather(*front)) {
-        StreamAnswer(*front);
-      }
-      return;
-    case Exchange::AnswerState::kWhole:
-      WriteWholeAnswer(*front);
-      return;
-    case Exchange::AnswerState::kStreaming:
-      return;
-  }
-}
-
-void CallerConnection::OnAnswered(bool is_written) {
-  if (!is_written) {
-    OnCallerGone();
-    return;
-  }
-  if (m_is_closed) {
-    return;
-  }
-  m_exchanges.front()->m_is_current = false;
-  m_exchanges.pop_front();
-  if (m_exchanges.empty() && m_is_last) {
-    CloseSoftly();
-    return;
-  }
-  if (!m_exchanges.empty()) {
-    m_exchanges.front()->m_ahead_slot.Release();
-    AdvanceFront();
-  }
-  ReadOn();
-}
-
-void CallerConnection::OnAnswerBroken(const ExchangePtr& exchange) {
-  const bool is_on_its_way =
-      exchange->m_answer_state == Exchange::AnswerState::kStreaming;
-  if (is_on_its_way || m_exchanges.size() == 1) {
-    Abandon(exchange.get());
-    return;
-  }
-  // No byte of it has left, so the caller can be told in its place, and those
-  // before and behind keep their answers.
-  LogLine(LogLevel::kInfo, "caller.answer_replaced")
-      .Add("request_id", exchange->m_head.request_id);
-  exchange->DropAnswer();
-  const Reason reason = Reason::kTargetLost;
-  exchange->Answer(
-      m_dialect.MakeOwnAnswer(OwnAnswer{Outcome::kUnknown, reason, std::nullopt,
-                                        exchange->m_head.request_id}),
-      MakeOutcomeBody(Outcome::kUnknown, reason));
-}
-
 // --- Ending -----------------------------------------------------------------
 
 void CallerConnection::Refuse(Reason reason) {
--- a/source/core/transport/caller_connection.h
+++ b/source/core/transport/callers/caller_connection.h
@@ -7,8 +7,8 @@
 // with 90 ms a request and 300 ms to be in time, the fourth of a series is late
 // at an idle fleet.
 
-#ifndef BULRUSHMOUNT_CORE_TRANSPORT_CALLER_CONNECTION_H_
-#define BULRUSHMOUNT_CORE_TRANSPORT_CALLER_CONNECTION_H_
+#ifndef BULRUSHMOUNT_CORE_TRANSPORT_CALLERS_CALLER_CONNECTION_H_
+#define BULRUSHMOUNT_CORE_TRANSPORT_CALLERS_CALLER_CONNECTION_H_
 
 #include <cstddef>
 #include <deque>
@@ -20,7 +20,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
-#include "core/transport/caller_server.h"
+#include "core/transport/callers/caller_server.h"
 #include "core/transport/http1_reader.h"
 #include "core/transport/http1_writer.h"
 
@@ -139,4 +139,4 @@
 
 }  // namespace bulrushmount::detail
 
-#endif  // BULRUSHMOUNT_CORE_TRANSPORT_CALLER_CONNECTION_H_
+#endif  // BULRUSHMOUNT_CORE_TRANSPORT_CALLERS_CALLER_CONNECTION_H_
--- a/source/core/transport/caller_dialect.cc
+++ b/source/core/transport/callers/caller_dialect.cc
@@ -1,6 +1,6 @@
 // Part of `caller_dialect.h`.
 
-#include "core/transport/caller_dialect.h"
+#include "core/transport/callers/caller_dialect.h"
 
 #include <chrono>
 
--- a/source/core/transport/caller_dialect.h
+++ b/source/core/transport/callers/caller_dialect.h
@@ -1,8 +1,8 @@
 // How callers speak to a node: what their header fields say, and how they are
 // told what the node itself has to say.
 
-#ifndef BULRUSHMOUNT_CORE_TRANSPORT_CALLER_DIALECT_H_
-#define BULRUSHMOUNT_CORE_TRANSPORT_CALLER_DIALECT_H_
+#ifndef BULRUSHMOUNT_CORE_TRANSPORT_CALLERS_CALLER_DIALECT_H_
+#define BULRUSHMOUNT_CORE_TRANSPORT_CALLERS_CALLER_DIALECT_H_
 
 #include <optional>
 #include <string>
@@ -71,4 +71,4 @@
 
 }  // namespace bulrushmount
 
-#endif  // BULRUSHMOUNT_CORE_TRANSPORT_CALLER_DIALECT_H_
+#endif  // BULRUSHMOUNT_CORE_TRANSPORT_CALLERS_CALLER_DIALECT_H_
--- a/source/core/transport/caller_exchange.cc
+++ b/source/core/transport/callers/caller_exchange.cc
@@ -1,7 +1,7 @@
 // Part of `caller_exchange.h`: the request's body from its start for each
 // attempt, and the answer's way to the caller.
 
-#include "core/transport/caller_exchange.h"
+#include "core/transport/callers/caller_exchange.h"
 
 #include <utility>
 
--- a/source/core/transport/caller_exchange.h
+++ b/source/core/transport/callers/caller_exchange.h
@@ -1,8 +1,8 @@
 // One exchange on a caller's connection, with the source of its request's body
 // and the sink of its answer's.
 
-#ifndef BULRUSHMOUNT_CORE_TRANSPORT_CALLER_EXCHANGE_H_
-#define BULRUSHMOUNT_CORE_TRANSPORT_CALLER_EXCHANGE_H_
+#ifndef BULRUSHMOUNT_CORE_TRANSPORT_CALLERS_CALLER_EXCHANGE_H_
+#define BULRUSHMOUNT_CORE_TRANSPORT_CALLERS_CALLER_EXCHANGE_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -10,7 +10,7 @@
 #include <string>
 #include <utility>
 
-#include "core/transport/caller_connection.h"
+#include "core/transport/callers/caller_connection.h"
 
 namespace bulrushmount::detail {
 
@@ -125,4 +125,4 @@
 
 }  // namespace bulrushmount::detail
 
-#endif  // BULRUSHMOUNT_CORE_TRANSPORT_CALLER_EXCHANGE_H_
+#endif  // BULRUSHMOUNT_CORE_TRANSPORT_CALLERS_CALLER_EXCHANGE_H_
--- a/source/core/transport/caller_server.cc
+++ b/source/core/transport/callers/caller_server.cc
@@ -1,13 +1,13 @@
 // Part of `caller_server.h`.
 
-#include "core/transport/caller_server.h"
+#include "core/transport/callers/caller_server.h"
 
 #include <algorithm>
 #include <utility>
 
 #include <fmt/format.h>
 
-#include "core/transport/caller_connection.h"
+#include "core/transport/callers/caller_connection.h"
 #include "core/transport/http1_writer.h"
 #include "core/transport/sockets.h"
 
--- a/source/core/transport/caller_server.h
+++ b/source/core/transport/callers/caller_server.h
@@ -1,7 +1,7 @@
 // The caller address: takes calls over HTTP/1.1 and writes their answers.
 
-#ifndef BULRUSHMOUNT_CORE_TRANSPORT_CALLER_SERVER_H_
-#define BULRUSHMOUNT_CORE_TRANSPORT_CALLER_SERVER_H_
+#ifndef BULRUSHMOUNT_CORE_TRANSPORT_CALLERS_CALLER_SERVER_H_
+#define BULRUSHMOUNT_CORE_TRANSPORT_CALLERS_CALLER_SERVER_H_
 
 #include <chrono>
 #include <cstddef>
@@ -22,9 +22,9 @@
 #include "core/node_logic/call_types.h"
 #include "core/routes/route_config.h"
 #include "core/transport/body_stream.h"
-#include "core/transport/caller_dialect.h"
+#include "core/transport/callers/caller_dialect.h"
+#include "core/transport/callers/read_ahead_budget.h"
 #include "core/transport/http1_head.h"
-#include "core/transport/read_ahead_budget.h"
 
 namespace bulrushmount {
 
@@ -149,4 +149,4 @@
 
 }  // namespace bulrushmount
 
-#endif  // BULRUSHMOUNT_CORE_TRANSPORT_CALLER_SERVER_H_
+#endif  // BULRUSHMOUNT_CORE_TRANSPORT_CALLERS_CALLER_SERVER_H_
--- a/source/core/transport/entry_calls.cc
+++ b/source/core/transport/callers/entry_calls.cc
@@ -1,6 +1,6 @@
 // Part of `entry_calls.h`.
 
-#include "core/transport/entry_calls.h"
+#include "core/transport/callers/entry_calls.h"
 
 #include <optional>
 #include <string>
@@ -11,7 +11,7 @@
 #include <boost/asio/post.hpp>
 
 #include "core/transport/body_copy.h"
-#include "core/transport/local_node_stream.h"
+#include "core/transport/peers/local_node_stream.h"
 
 namespace bulrushmount {
 
--- a/source/core/transport/entry_calls.h
+++ b/source/core/transport/callers/entry_calls.h
@@ -1,7 +1,7 @@
 // The entry's side of the driver: the callers' calls with their attempts.
 
-#ifndef BULRUSHMOUNT_CORE_TRANSPORT_ENTRY_CALLS_H_
-#define BULRUSHMOUNT_CORE_TRANSPORT_ENTRY_CALLS_H_
+#ifndef BULRUSHMOUNT_CORE_TRANSPORT_CALLERS_ENTRY_CALLS_H_
+#define BULRUSHMOUNT_CORE_TRANSPORT_CALLERS_ENTRY_CALLS_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -14,9 +14,9 @@
 #include "core/common/time.h"
 #include "core/node_logic/actions.h"
 #include "core/node_logic/node_brain.h"
-#include "core/transport/caller_server.h"
+#include "core/transport/callers/caller_server.h"
 #include "core/transport/event_sink.h"
-#include "core/transport/node_stream_client.h"
+#include "core/transport/peers/node_stream_client.h"
 
 namespace bulrushmount {
 
@@ -79,4 +79,4 @@
 
 }  // namespace bulrushmount
 
-#endif  // BULRUSHMOUNT_CORE_TRANSPORT_ENTRY_CALLS_H_
+#endif  // BULRUSHMOUNT_CORE_TRANSPORT_CALLERS_ENTRY_CALLS_H_
--- a/source/core/transport/read_ahead_budget.h
+++ b/source/core/transport/callers/read_ahead_budget.h
@@ -5,8 +5,8 @@
 // until the one before it has ended, so without a bound over all connections
 // the answers would fill the node's memory.
 
-#ifndef BULRUSHMOUNT_CORE_TRANSPORT_READ_AHEAD_BUDGET_H_
-#define BULRUSHMOUNT_CORE_TRANSPORT_READ_AHEAD_BUDGET_H_
+#ifndef BULRUSHMOUNT_CORE_TRANSPORT_CALLERS_READ_AHEAD_BUDGET_H_
+#define BULRUSHMOUNT_CORE_TRANSPORT_CALLERS_READ_AHEAD_BUDGET_H_
 
 #include <cstddef>
 #include <memory>
@@ -64,4 +64,4 @@
 
 }  // namespace bulrushmount
 
-#endif  // BULRUSHMOUNT_CORE_TRANSPORT_READ_AHEAD_BUDGET_H_
+#endif  // BULRUSHMOUNT_CORE_TRANSPORT_CALLERS_READ_AHEAD_BUDGET_H_
--- a/source/core/transport/daemon_protocols.h
+++ b/source/core/transport/daemon_protocols.h
@@ -12,9 +12,9 @@
 #include "core/routes/route_document.h"
 #include "core/settings/daemon_settings.h"
 #include "core/store/table_service.h"
-#include "core/transport/caller_dialect.h"
+#include "core/transport/callers/caller_dialect.h"
 #include "core/transport/node_driver.h"
-#include "core/transport/target_dialect.h"
+#include "core/transport/targets/target_dialect.h"
 
 namespace bulrushmount {
 
--- a/source/core/transport/node_daemon.cc
+++ b/source/core/transport/node_daemon.cc
@@ -18,10 +18,10 @@
 #include "core/common/logging.h"
 #include "core/common/random.h"
 #include "core/node_logic/node_logic.h"
-#include "core/transport/daemon_pages.h"
 #include "core/transport/log_flusher.h"
-#include "core/transport/metrics_server.h"
 #include "core/transport/node_driver.h"
+#include "core/transport/operators/daemon_pages.h"
+#include "core/transport/operators/metrics_server.h"
 #include "core/transport/settings_reloader.h"
 
 namespace bulrushmount {
--- a/source/core/transport/burn_gatherer.cc
+++ b/source/core/transport/operators/burn_gatherer.cc
@@ -1,6 +1,6 @@
 // Part of `burn_gatherer.h`.
 
-#include "core/transport/burn_gatherer.h"
+#include "core/transport/operators/burn_gatherer.h"
 
 #include <string>
 #include <unordered_map>
@@ -11,7 +11,7 @@
 #include <boost/leaf/handle_errors.hpp>
 
 #include "core/reporting/burn_report_format.h"
-#include "core/transport/control_works.h"
+#include "core/transport/peers/control_works.h"
 
 namespace bulrushmount {
 
--- a/source/core/transport/burn_gatherer.h
+++ b/source/core/transport/operators/burn_gatherer.h
@@ -1,8 +1,8 @@
 // Gathers the burn reports of the other nodes over node streams and merges them
 // with this node's own.
 
-#ifndef BULRUSHMOUNT_CORE_TRANSPORT_BURN_GATHERER_H_
-#define BULRUSHMOUNT_CORE_TRANSPORT_BURN_GATHERER_H_
+#ifndef BULRUSHMOUNT_CORE_TRANSPORT_OPERATORS_BURN_GATHERER_H_
+#define BULRUSHMOUNT_CORE_TRANSPORT_OPERATORS_BURN_GATHERER_H_
 
 #include <chrono>
 #include <cstddef>
@@ -15,7 +15,7 @@
 #include "core/common/endpoint.h"
 #include "core/common/time.h"
 #include "core/reporting/burn_report.h"
-#include "core/transport/node_stream_client.h"
+#include "core/transport/peers/node_stream_client.h"
 
 namespace bulrushmount {
 
@@ -66,4 +66,4 @@
 
 }  // namespace bulrushmount
 
-#endif  // BULRUSHMOUNT_CORE_TRANSPORT_BURN_GATHERER_H_
+#endif  // BULRUSHMOUNT_CORE_TRANSPORT_OPERATORS_BURN_GATHERER_H_
--- a/source/core/transport/control_server.cc
+++ b/source/core/transport/operators/control_server.cc
@@ -1,6 +1,6 @@
 // Part of `control_server.h`.
 
-#include "core/transport/control_server.h"
+#include "core/transport/operators/control_server.h"
 
 #include <chrono>
 #include <optional>
--- a/source/core/transport/control_server.h
+++ b/source/core/transport/operators/control_server.h
@@ -1,8 +1,8 @@
 // A small HTTP/1.1 server for short control requests, read and answered whole:
 // the operator address and the target address are one each.
 
-#ifndef BULRUSHMOUNT_CORE_TRANSPORT_CONTROL_SERVER_H_
-#define BULRUSHMOUNT_CORE_TRANSPORT_CONTROL_SERVER_H_
+#ifndef BULRUSHMOUNT_CORE_TRANSPORT_OPERATORS_CONTROL_SERVER_H_
+#define BULRUSHMOUNT_CORE_TRANSPORT_OPERATORS_CONTROL_SERVER_H_
 
 #include <functional>
 #include <memory>
@@ -75,4 +75,4 @@
 
 }  // namespace bulrushmount
 
-#endif  // BULRUSHMOUNT_CORE_TRANSPORT_CONTROL_SERVER_H_
+#endif  // BULRUSHMOUNT_CORE_TRANSPORT_OPERATORS_CONTROL_SERVER_H_
--- a/source/core/transport/daemon_pages.cc
+++ b/source/core/transport/operators/daemon_pages.cc
@@ -1,6 +1,6 @@
 // Part of `daemon_pages.h`.
 
-#include "core/transport/daemon_pages.h"
+#include "core/transport/operators/daemon_pages.h"
 
 #include <array>
 #include <functional>
--- a/source/core/transport/daemon_pages.h
+++ b/source/core/transport/operators/daemon_pages.h
@@ -1,16 +1,16 @@
 // What a whole node shows of itself: the pages on its operator address, and its
 // answers to other nodes' questions.
 
-#ifndef BULRUSHMOUNT_CORE_TRANSPORT_DAEMON_PAGES_H_
-#define BULRUSHMOUNT_CORE_TRANSPORT_DAEMON_PAGES_H_
+#ifndef BULRUSHMOUNT_CORE_TRANSPORT_OPERATORS_DAEMON_PAGES_H_
+#define BULRUSHMOUNT_CORE_TRANSPORT_OPERATORS_DAEMON_PAGES_H_
 
 #include <string_view>
 
 #include <boost/asio/io_context.hpp>
 
 #include "core/node_logic/node_logic.h"
-#include "core/transport/burn_gatherer.h"
 #include "core/transport/node_driver.h"
+#include "core/transport/operators/burn_gatherer.h"
 
 namespace bulrushmount {
 
@@ -35,4 +35,4 @@
 
 }  // namespace bulrushmount
 
-#endif  // BULRUSHMOUNT_CORE_TRANSPORT_DAEMON_PAGES_H_
+#endif  // BULRUSHMOUNT_CORE_TRANSPORT_OPERATORS_DAEMON_PAGES_H_
--- a/source/core/transport/metrics_server.cc
+++ b/source/core/transport/operators/metrics_server.cc
@@ -1,6 +1,6 @@
 // Part of `metrics_server.h`.
 
-#include "core/transport/metrics_server.h"
+#include "core/transport/operators/metrics_server.h"
 
 #include <utility>
 
--- a/source/core/transport/metrics_server.h
+++ b/source/core/transport/operators/metrics_server.h
@@ -1,13 +1,13 @@
 // The metrics address: GET /metrics for anybody who reaches it, and nothing
 // else.
 
-#ifndef BULRUSHMOUNT_CORE_TRANSPORT_METRICS_SERVER_H_
-#define BULRUSHMOUNT_CORE_TRANSPORT_METRICS_SERVER_H_
+#ifndef BULRUSHMOUNT_CORE_TRANSPORT_OPERATORS_METRICS_SERVER_H_
+#define BULRUSHMOUNT_CORE_TRANSPORT_OPERATORS_METRICS_SERVER_H_
 
 #include <boost/asio/io_context.hpp>
 
 #include "core/node_logic/node_logic.h"
-#include "core/transport/control_server.h"
+#include "core/transport/operators/control_server.h"
 
 namespace bulrushmount {
 
@@ -28,4 +28,4 @@
 
 }  // namespace bulrushmount
 
-#endif  // BULRUSHMOUNT_CORE_TRANSPORT_METRICS_SERVER_H_
+#endif  // BULRUSHMOUNT_CORE_TRANSPORT_OPERATORS_METRICS_SERVER_H_
--- a/source/core/transport/operator_server.cc
+++ b/source/core/transport/operators/operator_server.cc
@@ -1,6 +1,6 @@
 // Part of `operator_server.h`.
 
-#include "core/transport/operator_server.h"
+#include "core/transport/operators/operator_server.h"
 
 #include <algorithm>
 #include <charconv>
--- a/source/core/transport/operator_server.h
+++ b/source/core/transport/operators/operator_server.h
@@ -1,8 +1,8 @@
 // The operator address: contracts, and pages to read. Decisions about contracts
 // are node_logic's: this turns requests into events and actions into replies.
 
-#ifndef BULRUSHMOUNT_CORE_TRANSPORT_OPERATOR_SERVER_H_
-#define BULRUSHMOUNT_CORE_TRANSPORT_OPERATOR_SERVER_H_
+#ifndef BULRUSHMOUNT_CORE_TRANSPORT_OPERATORS_OPERATOR_SERVER_H_
+#define BULRUSHMOUNT_CORE_TRANSPORT_OPERATORS_OPERATOR_SERVER_H_
 
 #include <cstdint>
 #include <functional>
@@ -13,8 +13,8 @@
 #include <boost/asio/io_context.hpp>
 
 #include "core/node_logic/actions.h"
-#include "core/transport/control_server.h"
 #include "core/transport/event_sink.h"
+#include "core/transport/operators/control_server.h"
 
 namespace bulrushmount {
 
@@ -70,4 +70,4 @@
 
 }  // namespace bulrushmount
 
-#endif  // BULRUSHMOUNT_CORE_TRANSPORT_OPERATOR_SERVER_H_
+#endif  // BULRUSHMOUNT_CORE_TRANSPORT_OPERATORS_OPERATOR_SERVER_H_
--- a/source/core/transport/control_works.cc
+++ b/source/core/transport/peers/control_works.cc
@@ -1,6 +1,6 @@
 // Part of `control_works.h`.
 
-#include "core/transport/control_works.h"
+#include "core/transport/peers/control_works.h"
 
 #include <algorithm>
 #include <utility>
--- a/source/core/transport/control_works.h
+++ b/source/core/transport/peers/control_works.h
@@ -1,15 +1,15 @@
 // Questions of one node to another about itself, over node streams: answered
 // here, so that they touch neither the decision logic nor the target.
 
-#ifndef BULRUSHMOUNT_CORE_TRANSPORT_CONTROL_WORKS_H_
-#define BULRUSHMOUNT_CORE_TRANSPORT_CONTROL_WORKS_H_
+#ifndef BULRUSHMOUNT_CORE_TRANSPORT_PEERS_CONTROL_WORKS_H_
+#define BULRUSHMOUNT_CORE_TRANSPORT_PEERS_CONTROL_WORKS_H_
 
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
 
-#include "core/transport/node_stream.h"
+#include "core/transport/peers/node_stream.h"
 
 namespace bulrushmount {
 
@@ -40,4 +40,4 @@
 
 }  // namespace bulrushmount
 
-#endif  // BULRUSHMOUNT_CORE_TRANSPORT_CONTROL_WORKS_H_
+#endif  // BULRUSHMOUNT_CORE_TRANSPORT_PEERS_CONTROL_WORKS_H_
--- a/source/core/transport/datagram_socket.cc
+++ b/source/core/transport/peers/datagram_socket.cc
@@ -1,6 +1,6 @@
 // Part of `datagram_socket.h`.
 
-#include "core/transport/datagram_socket.h"
+#include "core/transport/peers/datagram_socket.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/address.hpp>
--- a/source/core/transport/datagram_socket.h
+++ b/source/core/transport/peers/datagram_socket.h
@@ -1,7 +1,7 @@
 // The gossip address: a UDP socket that carries whole datagrams.
 
-#ifndef BULRUSHMOUNT_CORE_TRANSPORT_DATAGRAM_SOCKET_H_
-#define BULRUSHMOUNT_CORE_TRANSPORT_DATAGRAM_SOCKET_H_
+#ifndef BULRUSHMOUNT_CORE_TRANSPORT_PEERS_DATAGRAM_SOCKET_H_
+#define BULRUSHMOUNT_CORE_TRANSPORT_PEERS_DATAGRAM_SOCKET_H_
 
 #include <array>
 #include <string>
@@ -45,4 +45,4 @@
 
 }  // namespace bulrushmount
 
-#endif  // BULRUSHMOUNT_CORE_TRANSPORT_DATAGRAM_SOCKET_H_
+#endif  // BULRUSHMOUNT_CORE_TRANSPORT_PEERS_DATAGRAM_SOCKET_H_
--- a/source/core/transport/http2_session.cc
+++ b/source/core/transport/peers/http2_session.cc
@@ -1,6 +1,6 @@
 // Part of `http2_session.h`.
 
-#include "core/transport/http2_session.h"
+#include "core/transport/peers/http2_session.h"
 
 #include <chrono>
 #include <memory>
--- a/source/core/transport/http2_session.h
+++ b/source/core/transport/peers/http2_session.h
@@ -1,8 +1,8 @@
 // An HTTP/2 session over one TCP connection between two nodes: what the client
 // and the server side share. nghttp2 does the protocol; this moves its bytes.
 
-#ifndef BULRUSHMOUNT_CORE_TRANSPORT_HTTP2_SESSION_H_
-#define BULRUSHMOUNT_CORE_TRANSPORT_HTTP2_SESSION_H_
+#ifndef BULRUSHMOUNT_CORE_TRANSPORT_PEERS_HTTP2_SESSION_H_
+#define BULRUSHMOUNT_CORE_TRANSPORT_PEERS_HTTP2_SESSION_H_
 
 #include <array>
 #include <cstddef>
@@ -16,7 +16,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include "core/transport/http2_stream.h"
+#include "core/transport/peers/http2_stream.h"
 
 namespace bulrushmount {
 
@@ -115,4 +115,4 @@
 
 }  // namespace bulrushmount
 
-#endif  // BULRUSHMOUNT_CORE_TRANSPORT_HTTP2_SESSION_H_
+#endif  // BULRUSHMOUNT_CORE_TRANSPORT_PEERS_HTTP2_SESSION_H_
--- a/source/core/transport/http2_stream.cc
+++ b/source/core/transport/peers/http2_stream.cc
@@ -1,6 +1,6 @@
 // Part of `http2_stream.h`.
 
-#include "core/transport/http2_stream.h"
+#include "core/transport/peers/http2_stream.h"
 
 #include <algorithm>
 #include <cstring>
@@ -8,7 +8,7 @@
 
 #include <boost/asio/post.hpp>
 
-#include "core/transport/http2_session.h"
+#include "core/transport/peers/http2_session.h"
 
 namespace bulrushmount {
 
--- a/source/core/transport/http2_stream.h
+++ b/source/core/transport/peers/http2_stream.h
@@ -1,8 +1,8 @@
 // One stream of an HTTP/2 session: the source of what the peer sends on it and
 // the sink of what goes to the peer.
 
-#ifndef BULRUSHMOUNT_CORE_TRANSPORT_HTTP2_STREAM_H_
-#define BULRUSHMOUNT_CORE_TRANSPORT_HTTP2_STREAM_H_
+#ifndef BULRUSHMOUNT_CORE_TRANSPORT_PEERS_HTTP2_STREAM_H_
+#define BULRUSHMOUNT_CORE_TRANSPORT_PEERS_HTTP2_STREAM_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -118,4 +118,4 @@
 
 }  // namespace bulrushmount
 
-#endif  // BULRUSHMOUNT_CORE_TRANSPORT_HTTP2_STREAM_H_
+#endif  // BULRUSHMOUNT_CORE_TRANSPORT_PEERS_HTTP2_STREAM_H_
--- a/source/core/transport/local_node_stream.cc
+++ b/source/core/transport/peers/local_node_stream.cc
@@ -1,6 +1,6 @@
 // Part of `local_node_stream.h`.
 
-#include "core/transport/local_node_stream.h"
+#include "core/transport/peers/local_node_stream.h"
 
 #include <functional>
 #include <string>
--- a/source/core/transport/local_node_stream.h
+++ b/source/core/transport/peers/local_node_stream.h
@@ -1,14 +1,14 @@
 // A request from a node's own entry to itself as the owner: the two ends of a
 // node stream joined in memory.
 
-#ifndef BULRUSHMOUNT_CORE_TRANSPORT_LOCAL_NODE_STREAM_H_
-#define BULRUSHMOUNT_CORE_TRANSPORT_LOCAL_NODE_STREAM_H_
+#ifndef BULRUSHMOUNT_CORE_TRANSPORT_PEERS_LOCAL_NODE_STREAM_H_
+#define BULRUSHMOUNT_CORE_TRANSPORT_PEERS_LOCAL_NODE_STREAM_H_
 
 #include <memory>
 
 #include <boost/asio/any_io_executor.hpp>
 
-#include "core/transport/node_stream.h"
+#include "core/transport/peers/node_stream.h"
 
 namespace bulrushmount {
 
@@ -22,4 +22,4 @@
 
 }  // namespace bulrushmount
 
-#endif  // BULRUSHMOUNT_CORE_TRANSPORT_LOCAL_NODE_STREAM_H_
+#endif  // BULRUSHMOUNT_CORE_TRANSPORT_PEERS_LOCAL_NODE_STREAM_H_
--- a/source/core/transport/node_stream.h
+++ b/source/core/transport/peers/node_stream.h
@@ -2,8 +2,8 @@
 // travels over a socket (node_stream_client, node_stream_server) or stays in
 // this process (local_node_stream).
 
-#ifndef BULRUSHMOUNT_CORE_TRANSPORT_NODE_STREAM_H_
-#define BULRUSHMOUNT_CORE_TRANSPORT_NODE_STREAM_H_
+#ifndef BULRUSHMOUNT_CORE_TRANSPORT_PEERS_NODE_STREAM_H_
+#define BULRUSHMOUNT_CORE_TRANSPORT_PEERS_NODE_STREAM_H_
 
 #include <memory>
 #include <string>
@@ -99,4 +99,4 @@
 
 }  // namespace bulrushmount
 
-#endif  // BULRUSHMOUNT_CORE_TRANSPORT_NODE_STREAM_H_
+#endif  // BULRUSHMOUNT_CORE_TRANSPORT_PEERS_NODE_STREAM_H_
--- a/source/core/transport/node_stream_client.cc
+++ b/source/core/transport/peers/node_stream_client.cc
@@ -1,6 +1,6 @@
 // Part of `node_stream_client.h`.
 
-#include "core/transport/node_stream_client.h"
+#include "core/transport/peers/node_stream_client.h"
 
 #include <chrono>
 #include <cstdint>
@@ -12,8 +12,8 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include "core/transport/http2_session.h"
-#include "core/transport/node_stream_codec.h"
+#include "core/transport/peers/http2_session.h"
+#include "core/transport/peers/node_stream_codec.h"
 
 namespace bulrushmount {
 
--- a/source/core/transport/node_stream_client.h
+++ b/source/core/transport/peers/node_stream_client.h
@@ -1,8 +1,8 @@
 // The entry's side of node streams: one HTTP/2 session to each owner, made
 // when first needed.
 
-#ifndef BULRUSHMOUNT_CORE_TRANSPORT_NODE_STREAM_CLIENT_H_
-#define BULRUSHMOUNT_CORE_TRANSPORT_NODE_STREAM_CLIENT_H_
+#ifndef BULRUSHMOUNT_CORE_TRANSPORT_PEERS_NODE_STREAM_CLIENT_H_
+#define BULRUSHMOUNT_CORE_TRANSPORT_PEERS_NODE_STREAM_CLIENT_H_
 
 #include <memory>
 #include <unordered_map>
@@ -10,7 +10,7 @@
 #include <boost/asio/any_io_executor.hpp>
 
 #include "core/common/endpoint.h"
-#include "core/transport/node_stream.h"
+#include "core/transport/peers/node_stream.h"
 
 namespace bulrushmount {
 
@@ -47,4 +47,4 @@
 
 }  // namespace bulrushmount
 
-#endif  // BULRUSHMOUNT_CORE_TRANSPORT_NODE_STREAM_CLIENT_H_
+#endif  // BULRUSHMOUNT_CORE_TRANSPORT_PEERS_NODE_STREAM_CLIENT_H_
--- a/source/core/transport/node_stream_codec.cc
+++ b/source/core/transport/peers/node_stream_codec.cc
@@ -1,6 +1,6 @@
 // Part of `node_stream_codec.h`.
 
-#include "core/transport/node_stream_codec.h"
+#include "core/transport/peers/node_stream_codec.h"
 
 #include <algorithm>
 #include <cctype>
--- a/source/core/transport/node_stream_codec.h
+++ b/source/core/transport/peers/node_stream_codec.h
@@ -1,15 +1,15 @@
 // The heads of node streams as HTTP/2 header fields, and back. Field names and
 // values travel between releases: add, never change; unknown ones are ignored.
 
-#ifndef BULRUSHMOUNT_CORE_TRANSPORT_NODE_STREAM_CODEC_H_
-#define BULRUSHMOUNT_CORE_TRANSPORT_NODE_STREAM_CODEC_H_
+#ifndef BULRUSHMOUNT_CORE_TRANSPORT_PEERS_NODE_STREAM_CODEC_H_
+#define BULRUSHMOUNT_CORE_TRANSPORT_PEERS_NODE_STREAM_CODEC_H_
 
 #include <optional>
 #include <vector>
 
 #include <nghttp2/nghttp2.h>
 
-#include "core/transport/node_stream.h"
+#include "core/transport/peers/node_stream.h"
 
 namespace bulrushmount {
 
@@ -37,4 +37,4 @@
 
 }  // namespace bulrushmount
 
-#endif  // BULRUSHMOUNT_CORE_TRANSPORT_NODE_STREAM_CODEC_H_
+#endif  // BULRUSHMOUNT_CORE_TRANSPORT_PEERS_NODE_STREAM_CODEC_H_
--- a/source/core/transport/node_stream_server.cc
+++ b/source/core/transport/peers/node_stream_server.cc
@@ -1,13 +1,13 @@
 // Part of `node_stream_server.h`.
 
-#include "core/transport/node_stream_server.h"
+#include "core/transport/peers/node_stream_server.h"
 
 #include <algorithm>
 #include <cstdint>
 #include <utility>
 
-#include "core/transport/http2_session.h"
-#include "core/transport/node_stream_codec.h"
+#include "core/transport/peers/http2_session.h"
+#include "core/transport/peers/node_stream_codec.h"
 #include "core/transport/sockets.h"
 
 namespace bulrushmount {
--- a/source/core/transport/node_stream_server.h
+++ b/source/core/transport/peers/node_stream_server.h
@@ -1,7 +1,7 @@
 // The owner's side of node streams: takes the other nodes' connections.
 
-#ifndef BULRUSHMOUNT_CORE_TRANSPORT_NODE_STREAM_SERVER_H_
-#define BULRUSHMOUNT_CORE_TRANSPORT_NODE_STREAM_SERVER_H_
+#ifndef BULRUSHMOUNT_CORE_TRANSPORT_PEERS_NODE_STREAM_SERVER_H_
+#define BULRUSHMOUNT_CORE_TRANSPORT_PEERS_NODE_STREAM_SERVER_H_
 
 #include <memory>
 #include <vector>
@@ -10,7 +10,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include "core/common/endpoint.h"
-#include "core/transport/node_stream.h"
+#include "core/transport/peers/node_stream.h"
 
 namespace bulrushmount {
 
@@ -49,4 +49,4 @@
 
 }  // namespace bulrushmount
 
-#endif  // BULRUSHMOUNT_CORE_TRANSPORT_NODE_STREAM_SERVER_H_
+#endif  // BULRUSHMOUNT_CORE_TRANSPORT_PEERS_NODE_STREAM_SERVER_H_
--- a/source/core/transport/owner_works.cc
+++ b/source/core/transport/targets/owner_works.cc
@@ -1,6 +1,6 @@
 // Part of `owner_works.h`.
 
-#include "core/transport/owner_works.h"
+#include "core/transport/targets/owner_works.h"
 
 #include <utility>
 
--- a/source/core/transport/owner_works.h
+++ b/source/core/transport/targets/owner_works.h
@@ -1,8 +1,8 @@
 // The owner's side of the driver: requests that reached this node for the
 // target beside it.
 
-#ifndef BULRUSHMOUNT_CORE_TRANSPORT_OWNER_WORKS_H_
-#define BULRUSHMOUNT_CORE_TRANSPORT_OWNER_WORKS_H_
+#ifndef BULRUSHMOUNT_CORE_TRANSPORT_TARGETS_OWNER_WORKS_H_
+#define BULRUSHMOUNT_CORE_TRANSPORT_TARGETS_OWNER_WORKS_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -12,8 +12,8 @@
 #include "core/common/ids.h"
 #include "core/node_logic/actions.h"
 #include "core/transport/event_sink.h"
-#include "core/transport/node_stream.h"
-#include "core/transport/target_client.h"
+#include "core/transport/peers/node_stream.h"
+#include "core/transport/targets/target_client.h"
 
 namespace bulrushmount {
 
@@ -54,4 +54,4 @@
 
 }  // namespace bulrushmount
 
-#endif  // BULRUSHMOUNT_CORE_TRANSPORT_OWNER_WORKS_H_
+#endif  // BULRUSHMOUNT_CORE_TRANSPORT_TARGETS_OWNER_WORKS_H_
--- a/source/core/transport/prober.cc
+++ b/source/core/transport/targets/prober.cc
@@ -1,6 +1,6 @@
 // Part of `prober.h`.
 
-#include "core/transport/prober.h"
+#include "core/transport/targets/prober.h"
 
 #include <memory>
 #include <utility>
--- a/source/core/transport/prober.h
+++ b/source/core/transport/targets/prober.h
@@ -1,8 +1,8 @@
 // Asks a target's health endpoint, on one connection that is kept between
 // probes.
 
-#ifndef BULRUSHMOUNT_CORE_TRANSPORT_PROBER_H_
-#define BULRUSHMOUNT_CORE_TRANSPORT_PROBER_H_
+#ifndef BULRUSHMOUNT_CORE_TRANSPORT_TARGETS_PROBER_H_
+#define BULRUSHMOUNT_CORE_TRANSPORT_TARGETS_PROBER_H_
 
 #include <memory>
 #include <string>
@@ -13,7 +13,7 @@
 #include "core/common/time.h"
 #include "core/node_logic/actions.h"
 #include "core/transport/event_sink.h"
-#include "core/transport/target_dialect.h"
+#include "core/transport/targets/target_dialect.h"
 
 namespace bulrushmount {
 
@@ -53,4 +53,4 @@
 
 }  // namespace bulrushmount
 
-#endif  // BULRUSHMOUNT_CORE_TRANSPORT_PROBER_H_
+#endif  // BULRUSHMOUNT_CORE_TRANSPORT_TARGETS_PROBER_H_
--- a/source/core/transport/target_client.cc
+++ b/source/core/transport/targets/target_client.cc
@@ -1,6 +1,6 @@
 // Part of `target_client.h`.
 
-#include "core/transport/target_client.h"
+#include "core/transport/targets/target_client.h"
 
 #include <algorithm>
 #include <chrono>
--- a/source/core/transport/target_client.h
+++ b/source/core/transport/targets/target_client.h
@@ -1,8 +1,8 @@
 // Hands requests to the target beside this node over HTTP/1.1, on pooled
 // keep-alive connections.
 
-#ifndef BULRUSHMOUNT_CORE_TRANSPORT_TARGET_CLIENT_H_
-#define BULRUSHMOUNT_CORE_TRANSPORT_TARGET_CLIENT_H_
+#ifndef BULRUSHMOUNT_CORE_TRANSPORT_TARGETS_TARGET_CLIENT_H_
+#define BULRUSHMOUNT_CORE_TRANSPORT_TARGETS_TARGET_CLIENT_H_
 
 #include <cstddef>
 #include <memory>
@@ -14,7 +14,7 @@
 #include "core/common/time.h"
 #include "core/transport/body_stream.h"
 #include "core/transport/http1_head.h"
-#include "core/transport/target_dialect.h"
+#include "core/transport/targets/target_dialect.h"
 
 namespace bulrushmount {
 
@@ -82,4 +82,4 @@
 
 }  // namespace bulrushmount
 
-#endif  // BULRUSHMOUNT_CORE_TRANSPORT_TARGET_CLIENT_H_
+#endif  // BULRUSHMOUNT_CORE_TRANSPORT_TARGETS_TARGET_CLIENT_H_
--- a/source/core/transport/target_dialect.cc
+++ b/source/core/transport/targets/target_dialect.cc
@@ -1,6 +1,6 @@
 // Part of `target_dialect.h`.
 
-#include "core/transport/target_dialect.h"
+#include "core/transport/targets/target_dialect.h"
 
 #include <algorithm>
 #include <chrono>
--- a/source/core/transport/target_dialect.h
+++ b/source/core/transport/targets/target_dialect.h
@@ -1,8 +1,8 @@
 // How a node speaks to the target beside it: what it adds to a request, and
 // what the target's answer says beside its status.
 
-#ifndef BULRUSHMOUNT_CORE_TRANSPORT_TARGET_DIALECT_H_
-#define BULRUSHMOUNT_CORE_TRANSPORT_TARGET_DIALECT_H_
+#ifndef BULRUSHMOUNT_CORE_TRANSPORT_TARGETS_TARGET_DIALECT_H_
+#define BULRUSHMOUNT_CORE_TRANSPORT_TARGETS_TARGET_DIALECT_H_
 
 #include <optional>
 #include <string>
@@ -84,4 +84,4 @@
 
 }  // namespace bulrushmount
 
-#endif  // BULRUSHMOUNT_CORE_TRANSPORT_TARGET_DIALECT_H_
+#endif  // BULRUSHMOUNT_CORE_TRANSPORT_TARGETS_TARGET_DIALECT_H_
--- a/source/core/transport/target_server.cc
+++ b/source/core/transport/targets/target_server.cc
@@ -1,6 +1,6 @@
 // Part of `target_server.h`.
 
-#include "core/transport/target_server.h"
+#include "core/transport/targets/target_server.h"
 
 #include <cstdint>
 #include <limits>
--- a/source/core/transport/target_server.h
+++ b/source/core/transport/targets/target_server.h
@@ -1,16 +1,16 @@
 // The target address: the target beside this node announces and withdraws
 // itself here.
 
-#ifndef BULRUSHMOUNT_CORE_TRANSPORT_TARGET_SERVER_H_
-#define BULRUSHMOUNT_CORE_TRANSPORT_TARGET_SERVER_H_
+#ifndef BULRUSHMOUNT_CORE_TRANSPORT_TARGETS_TARGET_SERVER_H_
+#define BULRUSHMOUNT_CORE_TRANSPORT_TARGETS_TARGET_SERVER_H_
 
 #include <optional>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
 
-#include "core/transport/control_server.h"
 #include "core/transport/event_sink.h"
+#include "core/transport/operators/control_server.h"
 
 namespace bulrushmount {
 
@@ -39,4 +39,4 @@
 
 }  // namespace bulrushmount
 
-#endif  // BULRUSHMOUNT_CORE_TRANSPORT_TARGET_SERVER_H_
+#endif  // BULRUSHMOUNT_CORE_TRANSPORT_TARGETS_TARGET_SERVER_H_
--- a/source/fuzz/announcement_fuzz.cc
+++ b/source/fuzz/announcement_fuzz.cc
@@ -2,7 +2,7 @@
 
 #include "fuzz/fuzz_input.h"
 
-#include "core/transport/target_server.h"
+#include "core/transport/targets/target_server.h"
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
                                       std::size_t size) {
--- a/source/fuzz/caller_connection_fuzz.cc
+++ b/source/fuzz/caller_connection_fuzz.cc
@@ -12,7 +12,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include "core/common/logging.h"
-#include "core/transport/caller_connection.h"
+#include "core/transport/callers/caller_connection.h"
 
 namespace bulrushmount {
 namespace {
--- a/source/fuzz/node_stream_fuzz.cc
+++ b/source/fuzz/node_stream_fuzz.cc
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 
-#include "core/transport/node_stream_codec.h"
+#include "core/transport/peers/node_stream_codec.h"
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
                                       std::size_t size) {
--- a/source/unit_tests/core/transport/burn_gatherer_test.cc
+++ b/source/unit_tests/core/transport/burn_gatherer_test.cc
@@ -10,10 +10,10 @@
 #include <gtest/gtest.h>
 
 #include "core/reporting/burn_report_format.h"
-#include "core/transport/burn_gatherer.h"
-#include "core/transport/control_works.h"
-#include "core/transport/node_stream_codec.h"
-#include "core/transport/node_stream_server.h"
+#include "core/transport/operators/burn_gatherer.h"
+#include "core/transport/peers/control_works.h"
+#include "core/transport/peers/node_stream_codec.h"
+#include "core/transport/peers/node_stream_server.h"
 #include "unit_tests/core/transport/transport_test_support.h"
 
 namespace bulrushmount::testing {
--- a/source/unit_tests/core/transport/caller_limits_test.cc
+++ b/source/unit_tests/core/transport/caller_limits_test.cc
@@ -8,7 +8,7 @@
 #include <gtest/gtest.h>
 #include <boost/asio/steady_timer.hpp>
 
-#include "core/transport/caller_server.h"
+#include "core/transport/callers/caller_server.h"
 #include "unit_tests/core/transport/transport_test_support.h"
 
 namespace bulrushmount::testing {
@@ -171,7 +171,7 @@
       sink->Finish([token](bool) {});
     }
     void OnCallerGone(const CallerExchange&) override {}
-  bool IsRepeatable(const CallHead&) const override { return true; }
+    bool IsRepeatable(const CallHead&) const override { return true; }
     // Held by the callbacks of the answer.
     std::weak_ptr<int> held;
   };
--- a/source/unit_tests/core/transport/caller_server_test.cc
+++ b/source/unit_tests/core/transport/caller_server_test.cc
@@ -7,7 +7,7 @@
 
 #include <gtest/gtest.h>
 
-#include "core/transport/caller_server.h"
+#include "core/transport/callers/caller_server.h"
 #include "unit_tests/core/transport/transport_test_support.h"
 
 namespace bulrushmount::testing {
--- a/source/unit_tests/core/transport/hostile_peer_test.cc
+++ b/source/unit_tests/core/transport/hostile_peer_test.cc
@@ -12,9 +12,9 @@
 #include <nghttp2/nghttp2.h>
 #include <boost/asio/steady_timer.hpp>
 
-#include "core/transport/node_stream_client.h"
-#include "core/transport/node_stream_codec.h"
-#include "core/transport/node_stream_server.h"
+#include "core/transport/peers/node_stream_client.h"
+#include "core/transport/peers/node_stream_codec.h"
+#include "core/transport/peers/node_stream_server.h"
 #include "unit_tests/core/transport/transport_test_support.h"
 
 namespace bulrushmount::testing {
--- a/source/unit_tests/core/transport/node_driver_test.cc
+++ b/source/unit_tests/core/transport/node_driver_test.cc
@@ -8,8 +8,8 @@
 
 #include <gtest/gtest.h>
 
-#include "core/transport/operator_server.h"
-#include "core/transport/target_server.h"
+#include "core/transport/operators/operator_server.h"
+#include "core/transport/targets/target_server.h"
 #include "unit_tests/core/transport/transport_test_support.h"
 
 namespace bulrushmount::testing {
--- a/source/unit_tests/core/transport/node_stream_test.cc
+++ b/source/unit_tests/core/transport/node_stream_test.cc
@@ -6,9 +6,9 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
-#include "core/transport/node_stream_client.h"
-#include "core/transport/node_stream_codec.h"
-#include "core/transport/node_stream_server.h"
+#include "core/transport/peers/node_stream_client.h"
+#include "core/transport/peers/node_stream_codec.h"
+#include "core/transport/peers/node_stream_server.h"
 #include "unit_tests/core/transport/transport_test_support.h"
 
 namespace bulrushmount::testing {
--- a/source/unit_tests/core/transport/target_client_test.cc
+++ b/source/unit_tests/core/transport/target_client_test.cc
@@ -6,7 +6,7 @@
 #include <gtest/gtest.h>
 #include <boost/asio/post.hpp>
 
-#include "core/transport/target_client.h"
+#include "core/transport/targets/target_client.h"
 #include "unit_tests/core/transport/transport_test_support.h"
 
 namespace bulrushmount::testing {
