--- a/source/core/target_state/target_gate.cc
+++ b/source/core/target_state/target_gate.cc
@@ -25,7 +25,9 @@
     LogLine(LogLevel::kInfo, "target.heartbeat_of_earlier_process")
         .Add("instance", heartbeat.instance)
         .Add("sequence", heartbeat.sequence);
-    return GateVerdict::kNone;
+    return heartbeat.readiness == TargetReadiness::kDraining
+               ? CloseEarlier(heartbeat.instance, heartbeat.started)
+               : GateVerdict::kNone;
   }
   // Draining is for good, however old the word is.
   if (heartbeat.readiness == TargetReadiness::kDraining)
@@ -51,10 +53,23 @@
 GateVerdict TargetGate::OnDeparted(const InstanceId& instance,
                                    const std::optional<ProcessStart>& started) {
   if (!FollowProcess(started, RecordOf(instance)))
-    return GateVerdict::kNone;
+    return CloseEarlier(instance, started);
   return Close(instance);
 }
 
+// Until a later process is confirmed the earlier one is the one in place, and
+// its leaving counts.
+GateVerdict TargetGate::CloseEarlier(
+    const InstanceId& instance,
+    const std::optional<ProcessStart>& started) {
+  const bool is_current = m_current && m_current->instance == instance &&
+                          m_current->started == started;
+  if (!is_current)
+    return GateVerdict::kNone;
+  m_current.reset();
+  return GateVerdict::kClose;
+}
+
 bool TargetGate::FollowProcess(const std::optional<ProcessStart>& started,
                                Record& record) {
   if (!started)
--- a/source/core/target_state/target_gate.h
+++ b/source/core/target_state/target_gate.h
@@ -79,6 +79,9 @@
   static bool IsSameProcess(const std::optional<TargetHeartbeat>& place,
                             const TargetHeartbeat& heartbeat);
   GateVerdict Close(const InstanceId& instance);
+  // A process of the target that is no longer its newest has left.
+  GateVerdict CloseEarlier(const InstanceId& instance,
+                           const std::optional<ProcessStart>& started);
   GateVerdict Open(const TargetHeartbeat& heartbeat);
 
   // Newest last; at most kMaxRecords.
--- a/source/unit_tests/core/target_state/target_gate_test.cc
+++ b/source/unit_tests/core/target_state/target_gate_test.cc
@@ -169,6 +169,22 @@
             GateVerdict::kClose);
 }
 
+// Symptom: a target that has said it leaves gets work. Sequence: a later
+// process of it reports and is not yet confirmed; then the drain of the one in
+// place arrives. Cause: the words of earlier processes were passed over,
+// although the gate was open for one.
+TEST_F(TargetGateTest, DrainOfTheProcessInPlaceClosesUntilTheNextIsConfirmed) {
+  m_gate.OnHeartbeat(m_now, Of(2, Ready("a", 1)));
+  m_gate.OnHeartbeat(m_now, Of(2, Ready("a", 2)));
+  ASSERT_TRUE(IsOpenFor("a"));
+  m_gate.OnHeartbeat(m_now, Of(3, Ready("a", 1)));
+  EXPECT_EQ(m_gate.OnHeartbeat(m_now, Of(2, Draining("a", 3))),
+            GateVerdict::kClose);
+  EXPECT_FALSE(m_gate.current());
+  EXPECT_EQ(m_gate.OnHeartbeat(m_now, Of(3, Ready("a", 2))),
+            GateVerdict::kOpen);
+}
+
 // A naive gate that sees the words of one target in their true order: it knows
 // which process is the newest of which it has heard, and whether that has said
 // that it drains. Ours hears them in any order, and must never be open for a
