--- a/source/unit_tests/core/transport/caller_pipeline_property_test.cc
+++ b/source/unit_tests/core/transport/caller_pipeline_property_test.cc
@@ -23,6 +23,9 @@
 
 using std::chrono::milliseconds;
 
+// An answer's body is written in pieces of this size.
+constexpr std::size_t kPiece = 7000;
+
 enum class AnswerFault : std::uint8_t { kNone, kBeforeHead, kMidway };
 
 struct ScriptedRequest {
@@ -184,7 +187,6 @@
   void WriteOn(std::size_t index,
                const std::shared_ptr<BodySink>& sink,
                std::size_t sent) {
-    constexpr std::size_t kPiece = 7000;
     std::string body = AnswerBodyOf(index);
     const bool fails = m_script[index].fault == AnswerFault::kMidway;
     if (fails)
--- a/source/unit_tests/core/transport/caller_pipeline_test.cc
+++ b/source/unit_tests/core/transport/caller_pipeline_test.cc
@@ -18,6 +18,11 @@
 
 using std::chrono::milliseconds;
 
+// Of bodies that do not fit into what is kept.
+constexpr std::size_t kLong = 400'000;
+constexpr std::size_t kPiece = 10'000;
+constexpr std::size_t kBody = 200'000;
+
 class CallerPipelineTest : public ::testing::Test {
  public:
   ~CallerPipelineTest() override {
@@ -239,8 +244,6 @@
 // Sequence: a long answer is ready behind a request that takes long.
 // Cause: all of it was kept until its turn.
 TEST_F(CallerPipelineTest, LongAnswerWaitsForRoomUntilItsTurn) {
-  constexpr std::size_t kLong = 400'000;
-  constexpr std::size_t kPiece = 10'000;
   StartAndSend({"/safe/0", "/safe/1"});
   ASSERT_TRUE(RunUntilCall("/safe/1"));
   const auto sink = Begin("/safe/1", {BodyFraming::kLength, kLong});
@@ -310,7 +313,6 @@
 
 // A body in front holds back the heads behind it.
 TEST_F(CallerPipelineTest, NothingIsTakenBehindABodyThatIsNotRead) {
-  constexpr std::size_t kBody = 200'000;
   Start();
   caller->Send("POST /safe/0 HTTP/1.1\r\nHost: desk\r\nContent-Length: " +
                std::to_string(kBody) + "\r\n\r\n" + std::string(kBody, 'b') +
