Send nothing new on a silent connection between nodes

Ruled out: cancellations that are not sent (they are, 2 ms after their request in the trace), callers' leaving noticed late (573 ms after the sending, as their times have it).

Change: a session that has been silent for 600 ms takes no new streams (a new connection works at once, or fails in 300 ms with nothing sent). Once nobody waits for it, it is reset with what its socket still holds, which would be sent after an ordinary close. An owner hands a request on only after all that came with it is read, so a cancellation that arrives with it is in time.

--- a/source/core/transport/peers/http2_session.cc
+++ b/source/core/transport/peers/http2_session.cc
@@ -118,6 +118,9 @@
     return;
   }
   m_is_closed = true;
+  if (m_is_silent && m_side == Side::kClient) {
+    DropUnsent();
+  }
   boost::system::error_code ignored;
   m_socket.close(ignored);
   m_tick_timer.cancel();
@@ -128,6 +131,14 @@
   OnSessionClosed();
 }
 
+// What goes wrong otherwise: the socket goes on to send what it holds after it
+// was closed, so that once the way has healed a target gets requests that
+// nobody waits for any more.
+void Http2Session::DropUnsent() {
+  boost::system::error_code ignored;
+  m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+}
+
 bool Http2Session::is_flushed() const {
   return m_is_closed ||
          (!m_is_sending && !m_is_send_scheduled &&
@@ -188,6 +199,7 @@
     return;
   }
   m_silent_ticks = 0;
+  m_is_silent = false;
   const ssize_t taken =
       nghttp2_session_mem_recv(m_session, m_received.data(), size);
   if (taken < 0) {
@@ -267,7 +279,8 @@
     m_silent_ticks = 0;
     const int limit =
         m_side == Side::kClient ? kClientIdleTicks : kServerIdleTicks;
-    if (++m_idle_ticks >= limit) {
+    const bool is_useless = m_is_silent && m_side == Side::kClient;
+    if (is_useless || ++m_idle_ticks >= limit) {
       Close();
       return;
     }
@@ -285,6 +298,7 @@
     ScheduleSend();
   }
   if (m_silent_ticks >= kSilentTicks) {
+    m_is_silent = true;
     TellSilence();
   }
   Tick();
--- a/source/core/transport/peers/http2_session.h
+++ b/source/core/transport/peers/http2_session.h
@@ -35,6 +35,8 @@
   bool is_flushed() const;
   bool is_closed() const { return m_is_closed; }
   std::size_t stream_count() const { return m_streams.size(); }
+  // The peer fell silent and was not heard since.
+  bool is_silent() const { return m_is_silent; }
   boost::asio::any_io_executor executor() { return m_socket.get_executor(); }
 
   // --- For the streams; without effect before the connection is made ------
@@ -94,6 +96,7 @@
   void Tick();
   void OnTick();
   void TellSilence();
+  void DropUnsent();
 
   boost::asio::ip::tcp::socket m_socket;
   boost::asio::steady_timer m_tick_timer;
@@ -108,6 +111,8 @@
   // Ticks since the peer was last heard. Counted, not timed: after this
   // process itself was stopped, the peer still has all its ticks to be heard.
   int m_silent_ticks = 0;
+  // Not forgotten when the last stream ends: that says nothing of the peer.
+  bool m_is_silent = false;
   // Ticks since a stream was last open.
   int m_idle_ticks = 0;
   Side m_side = Side::kClient;
--- a/source/core/transport/peers/node_stream_client.cc
+++ b/source/core/transport/peers/node_stream_client.cc
@@ -118,8 +118,12 @@
         [self](const boost::system::error_code& ec) { self->OnConnected(ec); });
   }
 
-  // Whether a new stream may be opened on it.
-  bool is_usable() const { return !is_closed() && !m_has_goaway; }
+  // Whether a new stream may be opened on it. After a cut a connection is mute
+  // until its next retransmission, seconds after the way has healed; a new one
+  // works at once, or fails soon with nothing sent.
+  bool is_usable() const {
+    return !is_closed() && !m_has_goaway && !is_silent();
+  }
 
   void OpenStream(const std::shared_ptr<Http2Stream>& stream,
                   HeaderList fields,
--- a/source/core/transport/peers/node_stream_server.cc
+++ b/source/core/transport/peers/node_stream_server.cc
@@ -6,6 +6,8 @@
 #include <cstdint>
 #include <utility>
 
+#include <boost/asio/post.hpp>
+
 #include "core/transport/peers/http2_session.h"
 #include "core/transport/peers/node_stream_codec.h"
 #include "core/transport/sockets.h"
@@ -64,6 +66,9 @@
   void OnHead(HeaderList fields) override;
   void OnClosed(std::uint32_t error_code) override;
 
+  // Gives the request to the acceptor, unless it was cancelled.
+  void HandOn();
+
  private:
   void EndWith(const OwnerReply& reply) { Reply(reply, false); }
   void Reply(const OwnerReply& reply, bool has_body);
@@ -104,6 +109,17 @@
     ScheduleSend();
   }
 
+  // Once all that came with it is read. What goes wrong otherwise: a request
+  // and its cancellation are held up on the way and arrive together, and a
+  // target gets a request that nobody waits for.
+  void HandOnLater(std::weak_ptr<ServerWork> work) {
+    asio::post(executor(), [weak = std::move(work)] {
+      if (const std::shared_ptr<ServerWork> kept = weak.lock()) {
+        kept->HandOn();
+      }
+    });
+  }
+
   void Forget(const ServerWork* work) {
     std::erase_if(m_works, [work](const std::shared_ptr<ServerWork>& other) {
       return other.get() == work;
@@ -139,7 +155,15 @@
     return;
   }
   m_request = std::move(*request);
-  m_acceptor.OnWork(shared_from_this());
+  if (session) {
+    session->HandOnLater(weak_from_this());
+  }
+}
+
+void ServerWork::HandOn() {
+  if (!m_stream->is_closed()) {
+    m_acceptor.OnWork(shared_from_this());
+  }
 }
 
 void ServerWork::OnClosed(std::uint32_t error_code) {
--- a/source/unit_tests/core/transport/node_stream_test.cc
+++ b/source/unit_tests/core/transport/node_stream_test.cc
@@ -4,6 +4,7 @@
 #include <string>
 
 #include <gtest/gtest.h>
+#include <nghttp2/nghttp2.h>
 #include <rapidcheck/gtest.h>
 
 #include "core/transport/peers/node_stream_client.h"
@@ -29,12 +30,14 @@
     ++lost;
     is_not_run = is_certainly_not_run;
   }
+  void OnSilent() override { is_silent = true; }
 
   Reason refused = Reason::kNone;
   Reason failed = Reason::kNone;
   int status = 0;
   int lost = 0;
   bool is_not_run = false;
+  bool is_silent = false;
 };
 
 class KeepingAcceptor : public WorkAcceptor {
@@ -120,6 +123,57 @@
   EXPECT_FALSE(listener.is_not_run);
 }
 
+// Symptom: servers get requests seconds after their callers have left.
+// Sequence: the way to an owner is cut and heals; for seconds after that the
+// old connection sends nothing, until its next retransmission; entries go on to
+// send requests on it. Cause: a session that has fallen silent was used for new
+// requests, though a new connection works at once or fails soon.
+TEST_F(NodeStreamTest, ASilentSessionTakesNoNewRequest) {
+  RawTarget peer(context, [](RawPeer& one) { one.received().clear(); });
+  KeepingListener first;
+  const auto waiting = client.Open(peer.endpoint(), MakeRequest(), &first);
+  ASSERT_TRUE(RunUntil(context, [&first] { return first.is_silent; }));
+  KeepingListener second;
+  const auto later = client.Open(peer.endpoint(), MakeRequest(), &second);
+  EXPECT_TRUE(RunUntil(context, [&peer] { return peer.connections() == 2; }));
+  EXPECT_EQ(first.lost, 0);
+}
+
+// The same after all its callers have left: what waits in the socket is thrown
+// away with it, and the next request does not find it as good as new.
+TEST_F(NodeStreamTest, ASilentSessionThatNobodyWaitsForIsReset) {
+  RawTarget peer(context, [](RawPeer& one) { one.received().clear(); });
+  KeepingListener listener;
+  const auto stream = client.Open(peer.endpoint(), MakeRequest(), &listener);
+  ASSERT_TRUE(RunUntil(context, [&listener] { return listener.is_silent; }));
+  stream->Cancel();
+  EXPECT_TRUE(RunUntil(context, [&peer] { return peer.peer(0).is_reset(); }));
+}
+
+// Symptom: as above, for what was sent before the silence was noticed.
+// Sequence: a request and its cancellation are held up on the way, and arrive
+// together. Cause: the request was handed on before what came with it was read.
+TEST_F(NodeStreamTest, WhatArrivesWithItsCancellationIsNotHandedOn) {
+  RawTarget way(context, [](RawPeer&) {});
+  KeepingListener listener;
+  WorkRequest request = MakeRequest();
+  const auto left = client.Open(way.endpoint(), request, &listener);
+  request.work.target = "/b";
+  const auto waited_for = client.Open(way.endpoint(), request, &listener);
+  const auto held_up = [&way] { return way.peer(0).received().size(); };
+  ASSERT_TRUE(RunUntil(context, [&] {
+    return way.connections() == 1 && held_up() > NGHTTP2_CLIENT_MAGIC_LEN + 200;
+  }));
+  const std::size_t requests = held_up();
+  left->Cancel();
+  ASSERT_TRUE(RunUntil(context, [&] { return held_up() > requests; }));
+  const auto entry = RawPeer::Connect(context, server.endpoint());
+  entry->Send(way.peer(0).received());
+  ASSERT_TRUE(RunUntil(context, [this] { return !acceptor.works.empty(); }));
+  ASSERT_EQ(acceptor.works.size(), 1U);
+  EXPECT_EQ(acceptor.works[0]->request().work.target, "/b");
+}
+
 TEST_F(NodeStreamTest, DrainingOwnerRefusesNewStreamsAndEndsTheOthers) {
   KeepingListener before;
   const auto first = Open(before, MakeRequest());
