Count words about targets that are not taken, and tell each once

Cause: a heartbeat that could not be read made a log line each time it came, which is some times a second for as long as its writer is wrong, and so did one of a service that nobody has configured; no metric told how many there were.

Nothing here decides about requests.

--- a/source/core/node_logic/events.h
+++ b/source/core/node_logic/events.h
@@ -148,6 +148,13 @@
   std::optional<ProcessStart> started{};
 };
 
+// A target's word could not be read. It opens and closes nothing.
+struct TargetWordRefused {
+  InstanceId instance;
+  // For the log: which field, and what it must be.
+  std::string fault;
+};
+
 struct ProbeAnswered {
   ProbeId probe;
   bool is_healthy = false;
@@ -210,6 +217,7 @@
                                TargetWithdrawn,
                                TargetHeartbeat,
                                TargetDeparted,
+                               TargetWordRefused,
                                ProbeAnswered,
                                ProbeFailed,
                                DatagramArrived,
--- a/source/core/node_logic/node.cc
+++ b/source/core/node_logic/node.cc
@@ -283,6 +283,10 @@
   m_owner.OnDeparted(now, event);
 }
 
+void Node::On(TimePoint now, const TargetWordRefused& event) {
+  m_owner.OnWordRefused(now, event);
+}
+
 void Node::On(TimePoint now, const ProbeAnswered& event) {
   if (m_owner.OnOwnProbe(now, event))
     return;
--- a/source/core/node_logic/node.h
+++ b/source/core/node_logic/node.h
@@ -78,6 +78,7 @@
   void On(TimePoint now, const TargetWithdrawn& event);
   void On(TimePoint now, const TargetHeartbeat& event);
   void On(TimePoint now, const TargetDeparted& event);
+  void On(TimePoint now, const TargetWordRefused& event);
   void On(TimePoint now, const ProbeAnswered& event);
   void On(TimePoint now, const ProbeFailed& event);
   void On(TimePoint now, const DatagramArrived& event);
--- a/source/core/node_logic/owner_side.h
+++ b/source/core/node_logic/owner_side.h
@@ -26,6 +26,7 @@
 #include "core/quarantine/quarantine.h"
 #include "core/reporting/traffic_metrics.h"
 #include "core/routes/route_table.h"
+#include "core/target_state/refused_words.h"
 #include "core/target_state/target_gate.h"
 #include "core/target_state/target_life.h"
 #include "core/target_state/target_speed.h"
@@ -55,6 +56,7 @@
   // Of targets that are known by an id.
   void OnHeartbeat(TimePoint now, const TargetHeartbeat& heartbeat);
   void OnDeparted(TimePoint now, const TargetDeparted& event);
+  void OnWordRefused(TimePoint now, const TargetWordRefused& event);
   // False if the probe is none of this object's.
   bool OnOwnProbe(TimePoint now, const ProbeAnswered& event);
   bool OnOwnProbe(TimePoint now, const ProbeFailed& event);
@@ -124,6 +126,7 @@
   std::unordered_map<WorkId, OwnedWork> m_works;
   std::optional<Endpoint> m_endpoint;
   std::optional<TargetAnnounced> m_announced;
+  RefusedWords m_refused_words;
   bool m_is_leaving = false;
   // Whether the admission was told to take work.
   bool m_is_admitting = false;
--- a/source/core/node_logic/owner_target.cc
+++ b/source/core/node_logic/owner_target.cc
@@ -40,14 +40,27 @@
   const bool is_known_service =
       !m_routes.is_known() || m_routes.FindService(heartbeat.service);
   if (!is_known_service && heartbeat.readiness == TargetReadiness::kReady) {
-    LogLine(LogLevel::kWarning, "target.unknown_service")
-        .Add("instance", heartbeat.instance)
-        .Add("service", heartbeat.service);
+    m_metrics.OnWordRefused("unknown-service");
+    if (m_refused_words.IsWorthALine(now, heartbeat.instance,
+                                     heartbeat.service.value())) {
+      LogLine(LogLevel::kWarning, "target.unknown_service")
+          .Add("instance", heartbeat.instance)
+          .Add("service", heartbeat.service);
+    }
     return;
   }
   Obey(now, m_gate.OnHeartbeat(now, heartbeat));
 }
 
+void OwnerSide::OnWordRefused(TimePoint now, const TargetWordRefused& event) {
+  m_metrics.OnWordRefused("unreadable");
+  if (m_refused_words.IsWorthALine(now, event.instance, event.fault)) {
+    LogLine(LogLevel::kWarning, "target.unreadable_word")
+        .Add("instance", event.instance)
+        .Add("fault", event.fault);
+  }
+}
+
 void OwnerSide::OnDeparted(TimePoint now, const TargetDeparted& event) {
   LogLine(LogLevel::kInfo, "target.departed").Add("instance", event.instance);
   Obey(now, m_gate.OnDeparted(event.instance, event.started));
--- a/source/core/reporting/traffic_metrics.cc
+++ b/source/core/reporting/traffic_metrics.cc
@@ -67,4 +67,12 @@
       .Observe(ToSeconds(run));
 }
 
+void TrafficMetrics::OnWordRefused(std::string_view reason) {
+  m_registry
+      .GetCounter("bulrushmount_refused_words_total",
+                  "Reports of targets that were not taken.",
+                  {{"reason", std::string(reason)}})
+      .Add();
+}
+
 }  // namespace bulrushmount
--- a/source/core/reporting/traffic_metrics.h
+++ b/source/core/reporting/traffic_metrics.h
@@ -30,6 +30,9 @@
   void OnWork(std::string_view result, Duration wait);
   void OnRun(Duration run);
 
+  // What somebody said of the target beside this node was not taken.
+  void OnWordRefused(std::string_view reason);
+
  private:
   MetricsRegistry& m_registry;
 };
--- a/source/unit_tests/core/node_logic/routed_node_test.cc
+++ b/source/unit_tests/core/node_logic/routed_node_test.cc
@@ -341,6 +341,24 @@
   EXPECT_TRUE(Next<HandToTarget>());
 }
 
+// Words that are not taken count, and change nothing.
+TEST_F(RoutedNodeTest, WordsThatAreNotTakenAreCounted) {
+  Start();
+  TargetHeartbeat stranger = Heartbeat("i-9", 1);
+  stranger.service = ServiceName("unheard-of");
+  for (int word = 0; word < 3; ++word)
+    Deliver(TargetWordRefused{InstanceId("i-1"), "slots: above 0"});
+  Deliver(stranger);
+  const std::string page = m_logic.MetricsText(m_now);
+  EXPECT_NE(page.find(R"(refused_words_total{reason="unreadable"} 3)"),
+            std::string::npos);
+  EXPECT_NE(page.find(R"(refused_words_total{reason="unknown-service"} 1)"),
+            std::string::npos);
+  Call("/read/1");
+  ASSERT_TRUE(Arrive());
+  EXPECT_TRUE(Next<HandToTarget>());
+}
+
 // Symptom: a target whose leaving was acknowledged gets work. Sequence: its
 // service goes out of the configuration, it reports that it drains, and the
 // service comes back. Cause: words of unknown services were passed over.
