--- a/source/process_tests/pipeline_test.cc
+++ b/source/process_tests/pipeline_test.cc
@@ -127,8 +127,8 @@
     ASSERT_TRUE(caller.Send(Pipeline("/silent")));
     ASSERT_TRUE(WaitUntilAllRun("/silent"));
   }
-  EXPECT_TRUE(WaitUntil(
-      [&] { return CountOf("cancelled", "/silent") == kRequests; }));
+  EXPECT_TRUE(
+      WaitUntil([&] { return CountOf("cancelled", "/silent") == kRequests; }));
   EXPECT_TRUE(Call(0, {}).is_answered());
 }
 
