Refuse a target's own calls at its entry where their service refuses them

Cause: a request that makes two calls at once fails without either, and each of them was refused by itself.

Change: an entry learns which kinds of call the target beside it makes (their failure is followed at once by an error of the target). Of these it sends hardly more than were answered of late, and refuses the rest at once, calls of one moment alike. Reason throttled, the refused share in call.ended, switch policies.throttle. Sheds of targets are left out: they are bounded by the retry budget, and say nothing of the load.

What full load keeps is a test of its own.

--- a/source/core/common/outcome.cc
+++ b/source/core/common/outcome.cc
@@ -61,6 +61,7 @@
     ReasonTraits{"request-too-slow", kRequestTimeout, std::nullopt},
     ReasonTraits{"slow-target", kUnavailable, 1s},
     ReasonTraits{"wrong-target", kUnavailable, 1s},
+    ReasonTraits{"throttled", kUnavailable, 1s},
 };
 
 static_assert(kTraits.size() == static_cast<std::size_t>(kLastReason) + 1);
--- a/source/core/common/outcome.h
+++ b/source/core/common/outcome.h
@@ -72,9 +72,12 @@
   kSlowTarget = 33,
   // Another target has the address; it did not run the request.
   kWrongTarget = 34,
+  // State of the system: of calls like it, owners refuse too many for want of
+  // room, so that none was asked.
+  kThrottled = 35,
 };
 
-inline constexpr Reason kLastReason = Reason::kWrongTarget;
+inline constexpr Reason kLastReason = Reason::kThrottled;
 
 // How a reason is told to callers.
 struct ReasonTraits {
--- a/source/core/node_logic/entry_side.cc
+++ b/source/core/node_logic/entry_side.cc
@@ -12,6 +12,7 @@
 #include "core/pipeline/quarantine_filter.h"
 #include "core/pipeline/return_advice.h"
 #include "core/pipeline/route_filter.h"
+#include "core/pipeline/throttle_filter.h"
 #include "core/routing/decaying_retry_budget.h"
 #include "core/routing/fleet_retry_budget.h"
 
@@ -79,6 +80,11 @@
   m_pipeline.Start(now, event.call, std::move(event.head));
 }
 
+void EntrySide::OnTargetError(TimePoint now) {
+  if (m_throttle)
+    m_throttle->OnTargetError(now);
+}
+
 void EntrySide::OnCallAccepted(TimePoint now, Call& call) {
   // What goes wrong without it: the node ends with the call under way, and its
   // caller loses an answer that another node could have brought.
@@ -114,6 +120,12 @@
         std::make_unique<ContractFilter>(m_parts.contracts, m_pipeline));
     m_pipeline.AddFilter(std::make_unique<LimitFilter>(m_parts.limiter));
   }
+  // Where refusals are free of a budget: elsewhere the budget bounds them.
+  if (settings.is_refusal_free && settings.policies.throttle) {
+    auto throttle = std::make_unique<ThrottleFilter>(m_parts.random);
+    m_throttle = throttle.get();
+    m_pipeline.AddFilter(std::move(throttle));
+  }
   m_pipeline.AddFilter(std::make_unique<QuarantineFilter>(
       m_parts.quarantine, m_pipeline, m_parts.event_time));
   m_pipeline.AddFilter(
@@ -155,6 +167,7 @@
       .Add("attempts", call.attempts_made)
       .Add("hand_overs", call.hand_overs)
       .Add("last_refusal", TraitsOf(call.last_refusal).token)
+      .Add("throttled_share", call.throttled_share)
       .Add("told_ms",
            ToMilliseconds(call.head.deadline.value_or(Duration::zero())))
       .Add("waited_before_ms", ToMilliseconds(call.waited_before))
--- a/source/core/node_logic/entry_side.h
+++ b/source/core/node_logic/entry_side.h
@@ -16,6 +16,7 @@
 #include "core/node_logic/node_settings.h"
 #include "core/pipeline/call_pipeline.h"
 #include "core/pipeline/dispatcher.h"
+#include "core/pipeline/throttle_filter.h"
 #include "core/quarantine/quarantine.h"
 #include "core/reporting/call_recorder.h"
 #include "core/reporting/traffic_metrics.h"
@@ -46,6 +47,8 @@
   EntrySide(const NodeSettings& settings, const Parts& parts);
 
   void OnCallArrived(TimePoint now, CallArrived event);
+  // The target beside answered a request with an error.
+  void OnTargetError(TimePoint now);
   Dispatcher& dispatcher() { return m_dispatcher; }
 
   // New calls are refused from `refuse_from` on, and before that those that may
@@ -82,6 +85,8 @@
   Parts m_parts;
   std::unique_ptr<RetryBudget> m_retries;
   CallPipeline m_pipeline;
+  // One of the pipeline's filters; null without it.
+  ThrottleFilter* m_throttle = nullptr;
   Dispatcher m_dispatcher;
   bool m_has_route_document = false;
   bool m_advises_return = true;
--- a/source/core/node_logic/node.cc
+++ b/source/core/node_logic/node.cc
@@ -17,6 +17,8 @@
 
 namespace {
 
+constexpr int kFirstServerError = 500;
+
 // Series of pairs of customer and kind that a node keeps histograms of.
 constexpr std::size_t kMaxReportSeries = 512;
 
@@ -257,6 +259,8 @@
 
 void Node::On(TimePoint now, const TargetAnswerBegun& event) {
   m_owner.OnAnswerBegun(now, event);
+  if (event.status >= kFirstServerError && !event.is_shed)
+    m_entry.OnTargetError(now);
 }
 
 void Node::On(TimePoint now, const TargetAnswerEnded& event) {
--- a/source/core/pipeline/return_advice.h
+++ b/source/core/pipeline/return_advice.h
@@ -25,6 +25,7 @@
     case Reason::kOverloaded:
     case Reason::kSlowTarget:
     case Reason::kShed:
+    case Reason::kThrottled:
       return milliseconds(250);
     // A target that was restarted reports within a second or two.
     case Reason::kNoTarget:
--- /dev/null
+++ b/source/core/pipeline/throttle_filter.cc
@@ -0,0 +1,55 @@
+// Part of `throttle_filter.h`.
+
+#include "core/pipeline/throttle_filter.h"
+
+namespace bulrushmount {
+
+namespace {
+
+CallClass ClassOf(const Call& call) {
+  return {call.head.service, call.terms.kind.name};
+}
+
+// Whether owners refused the call for want of room. Other refusals say nothing
+// of the load: a target that leaves, or one that sheds although its owner keeps
+// it from being full.
+bool IsRefusedForLoad(const Call& call, const CallEnd& end) {
+  if (end.outcome != Outcome::kNotRun || call.attempts_made == 0)
+    return false;
+  switch (end.reason) {
+    case Reason::kOverloaded:
+    case Reason::kSlowTarget:
+    case Reason::kDeadlineTooShort:
+      return true;
+    default:
+      return false;
+  }
+}
+
+bool HasRoom(const LoadReport& load) {
+  return load.queued == 0 && load.in_flight < load.limit;
+}
+
+}  // namespace
+
+FilterVerdict ThrottleFilter::OnCall(TimePoint now, Call& call) {
+  if (!m_nested.IsNested(ClassOf(call)))
+    return PassCall{};
+  call.throttled_share = m_throttle.RefusedShare(now, ClassOf(call));
+  if (m_throttle.Admit(now, ClassOf(call), m_random))
+    return PassCall{};
+  return RefuseCall(Reason::kThrottled);
+}
+
+void ThrottleFilter::OnCallEnded(TimePoint now,
+                                 Call& call,
+                                 const CallEnd& end) {
+  if (end.outcome == Outcome::kAnswered)
+    m_throttle.OnAnswered(now, ClassOf(call), HasRoom(call.last_load));
+  else if (IsRefusedForLoad(call, end))
+    m_throttle.OnRefused(now, ClassOf(call));
+  if (end.outcome != Outcome::kAnswered && !call.is_caller_gone)
+    m_nested.OnCallFailed(now, ClassOf(call));
+}
+
+}  // namespace bulrushmount
--- a/source/unit_tests/core/node_logic/fleet.cc
+++ b/source/unit_tests/core/node_logic/fleet.cc
@@ -232,6 +232,11 @@
   m_nodes[index]->target.is_failing = is_failing;
 }
 
+void Fleet::FailRequest(std::size_t node) {
+  constexpr int kServerError = 500;
+  Deliver(node, TargetAnswerBegun{WorkId(++m_last_id), kServerError, false});
+}
+
 void Fleet::Shutdown(std::size_t index) {
   Deliver(index, ShutdownRequested());
 }
--- a/source/unit_tests/core/node_logic/fleet.h
+++ b/source/unit_tests/core/node_logic/fleet.h
@@ -94,6 +94,9 @@
   void SetServiceTime(std::size_t node, Duration service_time);
   // The target answers everything with an error and fast.
   void SetFailing(std::size_t node, bool is_failing);
+  // The target beside the node answers a request, which the fleet does not
+  // know, with an error.
+  void FailRequest(std::size_t node);
   void Shutdown(std::size_t node);
 
   // A request with this method crashes its target.
--- a/source/unit_tests/core/node_logic/nested_overload_test.cc
+++ b/source/unit_tests/core/node_logic/nested_overload_test.cc
@@ -179,6 +179,7 @@
       if (has_failed) {
         for (const std::size_t call : request)
           fleet.Abandon(call);
+        fleet.FailRequest(fleet.calls()[request.front()].entry);
       }
       const bool is_served = answered == request.size();
       m_served += is_served ? 1 : 0;
@@ -197,12 +198,23 @@
 TEST_P(NestedOverloadTest, MoreThanCanBeServedCostsNoGoodAnswers) {
   const OverloadResult full = Play(1.0, 4s);
   const OverloadResult over = Play(GetParam().load, 4s);
+  RecordProperty("full", fmt::format("{:.0f}", full.served));
+  RecordProperty("over", fmt::format("{:.0f}", over.served));
   EXPECT_GE(over.served, kGoodputGoal * full.served)
       << full.served << " requests a second at full load, " << over.served
       << " beyond it; owners asked for each call: " << full.asked << " and "
       << over.asked;
 }
 
+// What bounds an overload must not make one of a load that can be served.
+TEST_P(NestedOverloadTest, AllThatCanBeServedIsServed) {
+  const OverloadResult below = Play(0.9, 4s);
+  const OverloadResult full = Play(1.0, 4s);
+  EXPECT_GE(full.served, kGoodputGoal * below.served)
+      << below.served << " requests a second below full load, " << full.served
+      << " at full load";
+}
+
 INSTANTIATE_TEST_SUITE_P(
     Loads,
     NestedOverloadTest,
