Show that a bounded call ends with an owner that leaves (red); one decaying sum

Found by reading the diff: a call that may ask one owner only was refused when that owner was draining or gone, though another one may well have taken it.

The counts of recent calls stood twice, in the bound on questions and in the throttle: one DecayingSum now.

--- a/source/core/pipeline/adaptive_throttle.cc
+++ b/source/core/pipeline/adaptive_throttle.cc
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cmath>
+#include <cstddef>
 
 namespace bulrushmount {
 
@@ -12,16 +12,13 @@
 
 using std::chrono_literals::operator""ms;
 
-// Time constant of "recent": a few times what a call takes, and a fraction of
-// the seconds that bursts last.
-constexpr Duration kMemory = 500ms;
-
 // Fewer recent calls than this say nothing, and cost owners little.
 constexpr double kLeastCalls = 6;
 
-// Calls that are sent for each answered one. At a full target: just more than it
-// answers, since each call that it refuses may cost another one its use. At one
-// with room: so that twice as many are sent within kMemory once a burst is over.
+// Calls that are sent for each answered one. At a full target: just more than
+// it answers, since each call that it refuses may cost another one its use. At
+// one with room: so that twice as many are sent within kMemory once a burst is
+// over.
 constexpr double kSentAtFullTarget = 1.05;
 constexpr double kSentAtTargetWithRoom = 2.0;
 
@@ -40,7 +37,7 @@
 bool AdaptiveThrottle::Admit(TimePoint now,
                              const CallClass& calls,
                              RandomSource& random) {
-  Recent* const recent = Find(now, calls);
+  Recent* const recent = Find(calls);
   if (!recent)
     return true;
   const bool is_together = now - recent->decided_at <= kTogether;
@@ -49,23 +46,24 @@
     recent->decided_at = now;
   }
   if (!recent->is_admitted)
-    recent->calls += 1;
+    recent->calls.Add(now, 1);
   return recent->is_admitted;
 }
 
 void AdaptiveThrottle::OnAnswered(TimePoint now,
                                   const CallClass& calls,
                                   bool has_room) {
-  Recent* const recent = Find(now, calls);
+  Recent* const recent = Find(calls);
   if (!recent)
     return;
-  recent->calls += 1;
-  recent->worth_sending += has_room ? kSentAtTargetWithRoom : kSentAtFullTarget;
+  recent->calls.Add(now, 1);
+  recent->worth_sending.Add(
+      now, has_room ? kSentAtTargetWithRoom : kSentAtFullTarget);
 }
 
 void AdaptiveThrottle::OnRefused(TimePoint now, const CallClass& calls) {
-  if (Recent* const recent = Find(now, calls))
-    recent->calls += 1;
+  if (Recent* const recent = Find(calls))
+    recent->calls.Add(now, 1);
 }
 
 double AdaptiveThrottle::RefusedShare(TimePoint now,
@@ -73,32 +71,17 @@
   const auto found = m_classes.find(calls);
   if (found == m_classes.end())
     return 0;
-  const double fading = Fading(now, found->second);
-  const double recent = found->second.calls * fading;
+  const double recent = found->second.calls.At(now);
   if (recent < kLeastCalls)
     return 0;
-  const double surplus = recent - found->second.worth_sending * fading;
+  const double surplus = recent - found->second.worth_sending.At(now);
   return std::clamp(surplus / recent, 0.0, kMostRefused);
 }
 
-AdaptiveThrottle::Recent* AdaptiveThrottle::Find(TimePoint now,
-                                                 const CallClass& calls) {
+AdaptiveThrottle::Recent* AdaptiveThrottle::Find(const CallClass& calls) {
   if (m_classes.size() >= kMaxClasses && !m_classes.contains(calls))
     return nullptr;
-  Recent& recent = m_classes[calls];
-  Fade(now, recent);
-  return &recent;
-}
-
-double AdaptiveThrottle::Fading(TimePoint now, const Recent& recent) {
-  return std::exp(-ToSeconds(now - recent.as_of) / ToSeconds(kMemory));
-}
-
-void AdaptiveThrottle::Fade(TimePoint now, Recent& recent) {
-  const double fading = Fading(now, recent);
-  recent.calls *= fading;
-  recent.worth_sending *= fading;
-  recent.as_of = now;
+  return &m_classes[calls];
 }
 
 }  // namespace bulrushmount
--- a/source/core/pipeline/adaptive_throttle.h
+++ b/source/core/pipeline/adaptive_throttle.h
@@ -20,8 +20,10 @@
 #ifndef BULRUSHMOUNT_CORE_PIPELINE_ADAPTIVE_THROTTLE_H_
 #define BULRUSHMOUNT_CORE_PIPELINE_ADAPTIVE_THROTTLE_H_
 
+#include <chrono>
 #include <map>
 
+#include "core/common/decaying_sum.h"
 #include "core/common/random.h"
 #include "core/common/time.h"
 #include "core/pipeline/call_class.h"
@@ -43,21 +45,21 @@
   double RefusedShare(TimePoint now, const CallClass& calls) const;
 
  private:
-  // Counts of recent calls; each weighs less as time passes.
+  // Time constant of "recent": a few times what a call takes, and a fraction of
+  // the seconds that bursts last.
+  static constexpr Duration kMemory = std::chrono::milliseconds(500);
+
   struct Recent {
-    double calls = 0;
+    DecayingSum calls{kMemory};
     // What of them the service can do, as the answers say.
-    double worth_sending = 0;
-    TimePoint as_of{};
-    // The newest verdict, and the call that it was made for.
+    DecayingSum worth_sending{kMemory};
+    // The newest verdict, and when it was made.
     bool is_admitted = true;
     TimePoint decided_at{};
   };
 
   // Null beyond the most classes that are looked at.
-  Recent* Find(TimePoint now, const CallClass& calls);
-  static double Fading(TimePoint now, const Recent& recent);
-  static void Fade(TimePoint now, Recent& recent);
+  Recent* Find(const CallClass& calls);
 
   std::map<CallClass, Recent> m_classes;
 };
--- a/source/core/pipeline/ask_budget.h
+++ b/source/core/pipeline/ask_budget.h
@@ -14,10 +14,10 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cmath>
 #include <cstddef>
 #include <map>
 
+#include "core/common/decaying_sum.h"
 #include "core/common/ids.h"
 #include "core/common/time.h"
 
@@ -30,10 +30,10 @@
   }
 
   void OnCall(TimePoint now, const ServiceName& service) {
-    Faded(now, service).calls += 1;
+    m_services[service].calls.Add(now, 1);
   }
   void OnRefused(TimePoint now, const ServiceName& service) {
-    Faded(now, service).refusals += 1;
+    m_services[service].refusals.Add(now, 1);
   }
 
   // Whether a call may turn to another owner once this one has refused.
@@ -41,9 +41,9 @@
   bool MayAskMore(TimePoint now,
                   const ServiceName& service,
                   std::size_t owners) {
-    const Recent& recent = Faded(now, service);
-    return recent.refusals <=
-           FreeRefusals(owners) + kRefusalsForACall * recent.calls;
+    const Recent& recent = m_services[service];
+    return recent.refusals.At(now) <=
+           FreeRefusals(owners) + kRefusalsForACall * recent.calls.At(now);
   }
 
  private:
@@ -57,9 +57,8 @@
   static constexpr double kFreeRefusalsOfAnOwner = 25;
 
   struct Recent {
-    double calls = 0;
-    double refusals = 0;
-    TimePoint as_of{};
+    DecayingSum calls{kMemory};
+    DecayingSum refusals{kMemory};
   };
 
   // This entry's part, within kMemory.
@@ -68,16 +67,6 @@
            static_cast<double>(owners) / static_cast<double>(m_nodes);
   }
 
-  Recent& Faded(TimePoint now, const ServiceName& service) {
-    Recent& recent = m_services[service];
-    const double fading =
-        std::exp(-ToSeconds(now - recent.as_of) / ToSeconds(kMemory));
-    recent.calls *= fading;
-    recent.refusals *= fading;
-    recent.as_of = now;
-    return recent;
-  }
-
   std::size_t m_nodes = 1;
   std::map<ServiceName, Recent> m_services;
 };
--- a/source/unit_tests/core/pipeline/dispatcher_test.cc
+++ b/source/unit_tests/core/pipeline/dispatcher_test.cc
@@ -110,6 +110,7 @@
     settings.is_refusal_free = true;
     settings.has_objectives = true;
     settings.choosy_attempts = kOwners;
+    settings.bounds_refusals = true;
     return settings;
   }
 
@@ -234,6 +235,61 @@
   EXPECT_TRUE(LastAttempt().head.is_last_attempt);
 }
 
+// Owners have refused more than they may: a call asks one.
+class BoundedQuestionsTest : public DispatcherTest {
+ protected:
+  BoundedQuestionsTest() {
+    const TimePoint end = m_now + 400ms;
+    while (m_now < end) {
+      m_end.reset();
+      const CallId call = Start(true);
+      while (!m_end)
+        Refuse(call, Reason::kOverloaded);
+      m_now += 1ms;
+    }
+    m_end.reset();
+    m_actions.actions.clear();
+  }
+
+  void Refuse(CallId call, Reason reason) {
+    m_dispatcher.OnRefused(
+        m_now, {call, LastAttempt().attempt, reason, {.limit = 12}});
+  }
+};
+
+TEST_F(BoundedQuestionsTest, ACallAsksOneOwnerAndTellsIt) {
+  const CallId call = Start(true);
+  EXPECT_TRUE(LastAttempt().head.is_last_attempt);
+  Refuse(call, Reason::kOverloaded);
+  ASSERT_TRUE(m_end);
+  EXPECT_EQ(m_end->outcome, Outcome::kNotRun);
+  EXPECT_EQ(m_actions.Count<DispatchAttempt>(), 1U);
+}
+
+// Symptom: while a service is short of targets, callers are refused because one
+// of its owners leaves. Sequence: the one owner that a call may ask refuses it
+// as draining. Cause: any refusal ended the call, although another owner may
+// well have taken it.
+TEST_F(BoundedQuestionsTest, ALeavingOwnerIsNotTheEndOfACall) {
+  const CallId call = Start(true);
+  const NodeId leaving = LastAttempt().owner;
+  Refuse(call, Reason::kDraining);
+  ASSERT_FALSE(m_end);
+  EXPECT_NE(LastAttempt().owner, leaving);
+  Answer(75ms, 1500);
+  ASSERT_TRUE(m_end);
+  EXPECT_EQ(m_end->outcome, Outcome::kAnswered);
+}
+
+TEST_F(BoundedQuestionsTest, AnOwnerThatIsGoneIsNotTheEndOfACall) {
+  const CallId call = Start(true);
+  const NodeId gone = LastAttempt().owner;
+  m_dispatcher.OnLost(
+      m_now, {call, LastAttempt().attempt, true, Reason::kNodeUnreachable});
+  ASSERT_FALSE(m_end);
+  EXPECT_NE(LastAttempt().owner, gone);
+}
+
 struct HoldCase {
   const char* name;
   std::uint64_t bytes;
