Let a bounded call go on where an owner leaves or is gone

Cause: the bound on questions took away the retry of each attempt, whatever the refusal. Only a refusal for want of room says that the next owner would refuse too.

Change: an attempt under the bound is told to its owner as the last, and ends the call only if that has no room; any other refusal and an owner that is gone let it go on, within the most attempts of a call. The bound counts refusals for want of room only. SaysNoRoom is one function for the bound and the throttle.

--- a/source/core/pipeline/call.h
+++ b/source/core/pipeline/call.h
@@ -41,6 +41,8 @@
   bool has_retry = false;
   // It asked for a fast start.
   bool is_choosy = false;
+  // Owners refuse too often for the call to ask another one for want of room.
+  bool is_bounded = false;
 };
 
 struct Call {
--- a/source/core/pipeline/dispatcher.cc
+++ b/source/core/pipeline/dispatcher.cc
@@ -10,6 +10,7 @@
 
 #include "core/admission/start_estimate.h"
 #include "core/common/logging.h"
+#include "core/pipeline/refusals.h"
 
 namespace bulrushmount {
 
@@ -60,16 +61,18 @@
   call->last_refusal = event.reason;
   NoteTold(now, *call, event.load);
   const bool has_arrived = HasArrived(event.reason);
-  // What has reached a target is bounded by the retry budget.
   if (has_arrived)
     ++call->hand_overs;
-  else
+  if (SaysNoRoom(event.reason))
     m_asks.OnRefused(now, call->head.service);
   if (event.reason == Reason::kSlowTarget)
     call->offers.Add(call->attempt->dispatch.node, event.load.slowdown);
-  // Another owner would refuse a suspect request too.
+  // Another owner would refuse a suspect request too, and one that no room was
+  // found for where most are refused. One that met a leaving owner goes on.
   const bool is_worth_it =
-      event.reason != Reason::kQuarantined && event.reason != Reason::kSuspect;
+      event.reason != Reason::kQuarantined &&
+      event.reason != Reason::kSuspect &&
+      !(call->attempt->is_bounded && SaysNoRoom(event.reason));
   if (EndAttempt(now, *call, is_worth_it, has_arrived))
     TryNextOwner(now, *call);
   else
@@ -267,8 +270,11 @@
     ++call.choosy_attempts;
   call.tried.push_back(owner.id);
   const Attempt attempt{AttemptNumber(call.attempts_made),
-                        Dispatch{owner.id, call.terms.kind.weight, now}, false,
-                        is_choosy || ReserveRetry(now, call), is_choosy};
+                        Dispatch{owner.id, call.terms.kind.weight, now},
+                        false,
+                        is_choosy || ReserveRetry(now, call),
+                        is_choosy,
+                        !is_choosy && !MayAskMore(now, call)};
   call.attempt = attempt;
   m_parts.router.OnSent(attempt.dispatch);
   m_parts.actions.Push(DispatchAttempt{call.id, attempt.number, owner.id,
@@ -283,7 +289,6 @@
 
 bool Dispatcher::ReserveRetry(TimePoint now, const Call& call) {
   return call.attempts_made < m_settings.max_attempts && HasOthers(call) &&
-         MayAskMore(now, call) &&
          (m_settings.is_refusal_free ||
           m_parts.retries.Reserve(now, call.head.service));
 }
@@ -346,7 +351,8 @@
   // A choosy attempt may be made again at the same owner. That is nobody else:
   // the owner would let it wait for moments only, for others that are not
   // there.
-  head.is_last_attempt = !call.attempt->has_retry || !HasOthers(call);
+  head.is_last_attempt =
+      !call.attempt->has_retry || call.attempt->is_bounded || !HasOthers(call);
   head.priority = call.terms.priority;
   if (m_settings.has_objectives)
     head.objective_left = ObjectiveLeft(now, call);
--- a/source/core/pipeline/throttle_filter.cc
+++ b/source/core/pipeline/throttle_filter.cc
@@ -2,6 +2,8 @@
 
 #include "core/pipeline/throttle_filter.h"
 
+#include "core/pipeline/refusals.h"
+
 namespace bulrushmount {
 
 namespace {
@@ -10,20 +12,9 @@
   return {call.head.service, call.terms.kind.name};
 }
 
-// Whether owners refused the call for want of room. Other refusals say nothing
-// of the load: a target that leaves, or one that sheds although its owner keeps
-// it from being full.
-bool IsRefusedForLoad(const Call& call, const CallEnd& end) {
-  if (end.outcome != Outcome::kNotRun || call.attempts_made == 0)
-    return false;
-  switch (end.reason) {
-    case Reason::kOverloaded:
-    case Reason::kSlowTarget:
-    case Reason::kDeadlineTooShort:
-      return true;
-    default:
-      return false;
-  }
+bool IsRefusedByOwners(const Call& call, const CallEnd& end) {
+  return end.outcome == Outcome::kNotRun && call.attempts_made > 0 &&
+         SaysNoRoom(end.reason);
 }
 
 bool HasRoom(const LoadReport& load) {
@@ -46,7 +37,7 @@
                                  const CallEnd& end) {
   if (end.outcome == Outcome::kAnswered)
     m_throttle.OnAnswered(now, ClassOf(call), HasRoom(call.last_load));
-  else if (IsRefusedForLoad(call, end))
+  else if (IsRefusedByOwners(call, end))
     m_throttle.OnRefused(now, ClassOf(call));
   if (end.outcome != Outcome::kAnswered && !call.is_caller_gone)
     m_nested.OnCallFailed(now, ClassOf(call));
