Order classes of calls as the linter wants it, and name two constants at file scope

clang-tidy takes a defaulted comparison of strong types for a null pointer's, as it does elsewhere; the order is by the ids' values. Nothing else changes.

--- a/source/core/pipeline/call_class.h
+++ b/source/core/pipeline/call_class.h
@@ -3,8 +3,6 @@
 #ifndef BULRUSHMOUNT_CORE_PIPELINE_CALL_CLASS_H_
 #define BULRUSHMOUNT_CORE_PIPELINE_CALL_CLASS_H_
 
-#include <compare>
-
 #include "core/common/ids.h"
 
 namespace bulrushmount {
@@ -13,7 +11,13 @@
   ServiceName service;
   KindName kind;
 
-  friend auto operator<=>(const CallClass&, const CallClass&) = default;
+  // By the ids' values: clang-tidy takes the comparison of strong types for a
+  // null pointer's.
+  friend bool operator<(const CallClass& left, const CallClass& right) {
+    const int order = left.service.value().compare(right.service.value());
+    return order != 0 ? order < 0
+                      : left.kind.value().compare(right.kind.value()) < 0;
+  }
 };
 
 }  // namespace bulrushmount
--- a/source/unit_tests/core/node_logic/fleet.cc
+++ b/source/unit_tests/core/node_logic/fleet.cc
@@ -18,6 +18,7 @@
 constexpr std::uint16_t kGossipPort = 7002;
 constexpr std::uint16_t kTargetPort = 8000;
 constexpr std::uint32_t kConnections = 220;
+constexpr int kServerError = 500;
 constexpr Duration kAnnouncementPeriod = std::chrono::seconds(1);
 constexpr Duration kReplacementDelay = std::chrono::milliseconds(200);
 
@@ -233,7 +234,6 @@
 }
 
 void Fleet::FailRequest(std::size_t node) {
-  constexpr int kServerError = 500;
   Deliver(node, TargetAnswerBegun{WorkId(++m_last_id), kServerError, false});
 }
 
--- a/source/unit_tests/core/node_logic/fleet_actions.cc
+++ b/source/unit_tests/core/node_logic/fleet_actions.cc
@@ -13,6 +13,8 @@
 constexpr Duration kTableDelay = std::chrono::milliseconds(3);
 constexpr Duration kFailureTime = std::chrono::milliseconds(1);
 constexpr int kOk = 200;
+// Closed streams may be among so many.
+constexpr std::size_t kKeptStreams = 1024;
 constexpr int kServerError = 500;
 
 }  // namespace
@@ -44,8 +46,7 @@
 
 // Streams are found by looking at all of them.
 void Fleet::ForgetClosedStreams() {
-  constexpr std::size_t kKept = 1024;
-  if (m_streams.size() > kKept)
+  if (m_streams.size() > kKeptStreams)
     std::erase_if(m_streams, [](const auto& one) { return one->is_closed; });
 }
 
