Sum up the logs of hundreds of processes: bulrushmountctl logs summary

Change: LogDigest takes lines one by one, mixed or file after file, and keeps counts by window; the command prints them.

--- a/source/bulrushmountctl/ctl_commands.cc
+++ b/source/bulrushmountctl/ctl_commands.cc
@@ -3,6 +3,7 @@
 #include "bulrushmountctl/ctl_commands.h"
 
 #include <fstream>
+#include <iostream>
 #include <iterator>
 #include <optional>
 #include <ostream>
@@ -16,6 +17,7 @@
 #include "bulrushmountctl/ctl_options.h"
 #include "bulrushmountctl/operator_client.h"
 #include "core/contracts/contract_yaml.h"
+#include "core/reporting/log_digest.h"
 
 namespace bulrushmount {
 
@@ -112,6 +114,8 @@
       case CtlCommand::kReportBurn:
         return Print(
             {"GET", "/report/burn?format=" + m_options.format, "", kNoRow});
+      case CtlCommand::kLogsSummary:
+        return SummarizeLogs();
     }
     return CtlExit::kUsage;
   }
@@ -201,6 +205,27 @@
     return CtlExit::kUnknown;
   }
 
+  CtlExit SummarizeLogs() {
+    if (m_options.argument == "-")
+      return SummarizeLogs(std::cin);
+    std::ifstream file(m_options.argument, std::ios::binary);
+    if (!file) {
+      m_error << "cannot read " << m_options.argument << "\n";
+      return CtlExit::kUsage;
+    }
+    return SummarizeLogs(file);
+  }
+
+  CtlExit SummarizeLogs(std::istream& lines) {
+    LogDigest digest;
+    std::string line;
+    while (std::getline(lines, line))
+      digest.AddLine(line);
+    digest.Finish();
+    m_out << digest.Text();
+    return CtlExit::kDone;
+  }
+
   std::optional<OperatorReply> Exchange(const OperatorRequest& request) {
     auto sent = m_client.Send(request);
     if (const auto* const failure = std::get_if<OperatorError>(&sent)) {
--- a/source/bulrushmountctl/ctl_options.cc
+++ b/source/bulrushmountctl/ctl_options.cc
@@ -26,7 +26,7 @@
   Argument argument;
 };
 
-constexpr std::array<CommandForm, 7> kForms{{
+constexpr std::array<CommandForm, 8> kForms{{
     {"contract", "write", CtlCommand::kContractWrite, Argument::kFile},
     {"contract", "show", CtlCommand::kContractShow, Argument::kName},
     {"contract", "list", CtlCommand::kContractList, Argument::kNone},
@@ -34,6 +34,7 @@
     {"contract", "check", CtlCommand::kContractCheck, Argument::kFile},
     {"status", "", CtlCommand::kStatus, Argument::kNone},
     {"report", "burn", CtlCommand::kReportBurn, Argument::kNone},
+    {"logs", "summary", CtlCommand::kLogsSummary, Argument::kFile},
 }};
 
 constexpr char kCommandsHelp[] = R"(
@@ -45,6 +46,7 @@
   contract check FILE.yaml          (asks no node)
   status
   report burn [--format text|json|svg]
+  logs summary FILE                 (asks no node; - is standard input)
 
 Exit codes: 0 done, 1 refused, 2 wrong usage or faults in the file,
 3 node unreachable or outcome unknown
@@ -112,7 +114,8 @@
 }
 
 std::string ReadNode(const cxxopts::ParseResult& parsed, CtlOptions& options) {
-  if (options.command == CtlCommand::kContractCheck)
+  if (options.command == CtlCommand::kContractCheck ||
+      options.command == CtlCommand::kLogsSummary)
     return "";
   if (parsed.count("node") == 0)
     return "--node IP:PORT is needed";
--- a/source/bulrushmountctl/ctl_options.h
+++ b/source/bulrushmountctl/ctl_options.h
@@ -23,6 +23,7 @@
   kContractCheck,
   kStatus,
   kReportBurn,
+  kLogsSummary,
 };
 
 struct CtlOptions {
@@ -30,7 +31,7 @@
   // The operator address of any node.
   Endpoint node;
   std::string token_file;
-  // FILE.yaml or NAME, as the command has it.
+  // FILE.yaml, FILE or NAME, as the command has it.
   std::string argument;
   // kNoRow if not given.
   RowVersion if_version;
--- a/source/unit_tests/bulrushmountctl/ctl_test.cc
+++ b/source/unit_tests/bulrushmountctl/ctl_test.cc
@@ -192,6 +192,21 @@
         ReplyCase{"Closed", {0, "", ""}, CtlExit::kUnknown, "read back"}),
     [](const auto& info) { return info.param.name; });
 
+TEST(CtlTest, SummarizesLogsWithoutANode) {
+  const std::string name = testing::TempDir() + "logs_of_two_nodes";
+  std::ofstream(name)
+      << "a time=7.5 level=info event=call.ended outcome=answered reason=none\n"
+      << "b time=7.6 level=info event=call.ended outcome=not-run "
+         "reason=throttled\n";
+  std::ostringstream out;
+  std::ostringstream error;
+  EXPECT_EQ(RunCtl({"logs", "summary", name}, out, error), CtlExit::kDone);
+  EXPECT_THAT(out.str(), HasSubstr("answered/none=1 not-run/throttled=1"));
+  EXPECT_EQ(RunCtl({"logs", "summary", name + ".gone"}, out, error),
+            CtlExit::kUsage);
+  EXPECT_THAT(error.str(), HasSubstr("cannot read"));
+}
+
 TEST(CtlTest, NodeUnreachable) {
   std::string address;
   {
