--- a/source/core/admission/ranked_queue.h
+++ b/source/core/admission/ranked_queue.h
@@ -8,10 +8,7 @@
 // late goes behind all long ones, and takes the work of its caller with it when
 // it fails. The operator ranks the short ones first. Served by rank alone, a
 // lower rank would get nothing while a higher one fills all slots; so each rank
-// has twice the share of the next one. In a replay of a third more than nine
-// slots can do, with two ranks between the kinds, 4,418 of 4,499 short ones are
-// answered before their callers give up (3,581 without ranks), and 347 of 709
-// long ones are in time (488).
+// has twice the share of the next one.
 
 #ifndef BULRUSHMOUNT_CORE_ADMISSION_RANKED_QUEUE_H_
 #define BULRUSHMOUNT_CORE_ADMISSION_RANKED_QUEUE_H_
--- a/source/core/node_logic/owner_policies.cc
+++ b/source/core/node_logic/owner_policies.cc
@@ -18,8 +18,7 @@
 // and every target of every caller answers with errors. Owners that judge by
 // errors take all targets of all services out, and nothing is served, not even
 // what does not need that service; it goes on after the fault, since each
-// target is tried again only after seconds. Measured in a replay of such a
-// fault of 8 s: 13 s without any answer with it, none without.
+// target is tried again only after seconds.
 EvidenceThresholds OnlyRefusedConnections() {
   EvidenceThresholds thresholds;
   thresholds.sheds = std::numeric_limits<std::uint32_t>::max();
--- a/source/core/pipeline/adaptive_throttle.h
+++ b/source/core/pipeline/adaptive_throttle.h
@@ -7,15 +7,10 @@
 // answered than at full load. And requests that make several calls at once get
 // one answered and one refused, so that the answered one was run in vain.
 //
-// In a replay of that 420 requests a second, of two calls each, were served
-// where refusing costs little, and 488 with the throttle and the bound on
-// questions (ask_budget.h); 16 and 437 where it costs a node a millisecond.
-//
 // So an entry sends hardly more calls than were answered of late, and refuses
 // the rest at once; calls that come together share one verdict. That is for
 // calls that targets make for their own requests. Among other calls an owner
-// chooses better than an entry whom to refuse: in a trial of 14 nodes 8,148 of
-// 14,236 lookups of outside callers were in time without, 6,301 with it.
+// chooses better than an entry whom to refuse.
 
 #ifndef BULRUSHMOUNT_CORE_PIPELINE_ADAPTIVE_THROTTLE_H_
 #define BULRUSHMOUNT_CORE_PIPELINE_ADAPTIVE_THROTTLE_H_
--- a/source/core/pipeline/ask_budget.h
+++ b/source/core/pipeline/ask_budget.h
@@ -5,9 +5,7 @@
 // finds an undisturbed one at the next owner or the one after it. But once all
 // targets are full, all owners refuse: six questions for each call then take
 // the processor time of nodes that need it for answers, without a better start
-// for anybody. In a replay of 1.7 times what four targets can run, whose nodes
-// decide on 1,000 requests a second, 16 requests a second were served without
-// this bound and the throttle (adaptive_throttle.h), 437 with both.
+// for anybody.
 
 #ifndef BULRUSHMOUNT_CORE_PIPELINE_ASK_BUDGET_H_
 #define BULRUSHMOUNT_CORE_PIPELINE_ASK_BUDGET_H_
--- a/source/core/pipeline/dispatcher.cc
+++ b/source/core/pipeline/dispatcher.cc
@@ -307,9 +307,7 @@
 // Load pattern: the target in this zone is disturbed for some hundred
 // milliseconds. A large answer from elsewhere costs more than the wait for the
 // end of that, so the owner may keep its request as long as another attempt
-// would still be in time with room to spare. Measured on a fleet of four zones
-// with a setting of 2 ms a kilobyte, before and after: 36 and 21 MB between
-// zones at a light load, 186 and 133 MB through bursts and a restart of all.
+// would still be in time with room to spare.
 Duration Dispatcher::MaxHold(TimePoint now,
                              const Call& call,
                              const Member& owner) const {
