Know the times of a target after a few answers, and wait before the first

Cause: an owner starts from 10 ms a request, weighs each answer by a tenth and takes none for more than eight times the mean. Requests of 340 ms are believed to take 29 ms after one answer, 82 ms after three, and their time after some twenty: four seconds at six requests a second.

Change: the first answers count alike and the first replaces what was assumed. Until then a last attempt may wait for a quarter of its time.

--- a/source/core/admission/admission.cc
+++ b/source/core/admission/admission.cc
@@ -179,8 +179,10 @@
       FromSeconds(waits * ToSeconds(m_service_times.slot_time_per_unit()));
   if (!request.is_last_attempt)
     return usual;
-  return std::max(usual, FromSeconds(m_settings.least_wait_of_time_left *
-                                     ToSeconds(request.time_left)));
+  const double part = m_service_times.is_known()
+                          ? m_settings.least_wait_of_time_left
+                          : m_settings.least_wait_before_first_answer;
+  return std::max(usual, FromSeconds(part * ToSeconds(request.time_left)));
 }
 
 bool Admission::IsOverloaded(Rank rank) const {
--- a/source/core/admission/admission.h
+++ b/source/core/admission/admission.h
@@ -77,10 +77,12 @@
   // A last attempt may always wait for this part of its time: a caller that is
   // refused comes back after a second or never, so to refuse one after
   // milliseconds of seconds wins nothing. Small, since under a lasting overload
-  // all of them would wait for so long. In a replay of sixteen callers at four
-  // slots, 2 ms a call, 4,440 are refused beside 2,000 answers without it, none
-  // with it.
+  // all of them would wait for so long.
   double least_wait_of_time_left = 0.02;
+  // The same until the target's first answer. After a restart of all, owners
+  // know nothing of the times, and would turn callers away within milliseconds
+  // who have seconds left.
+  double least_wait_before_first_answer = 0.25;
   // A burst passes; once works have waited for this fraction of the recent
   // time, the load is too high, and long waits would be for nothing.
   double overload_fraction = 0.75;
@@ -94,15 +96,13 @@
   // From this multiple of its usual slowdown on a target counts as disturbed,
   // and nothing is started on it: how long a request takes is settled
   // when it starts, and one that starts then holds its slot for as long as
-  // several others would. In a replay of targets that are disturbed a third of
-  // the time, seven-fold, 1.56 times as many answers are in time (442, 688).
+  // several others would.
   double hold_from_slowdown = 2.0;
   // Between the target's answer and the caller: two nodes of a busy fleet, and
   // the way between them.
   Duration way_back = std::chrono::milliseconds(8);
   // What would be in time in the mean, but likely is not, goes behind what
-  // likely is. In a replay of a third too much load with times that spread by
-  // 0.3 of their mean, 1.21 times as many are in time (516, 625).
+  // likely is.
   bool expects_spread = true;
   // What is told for one to two times this long is the usual.
   Duration usual_window = std::chrono::milliseconds(1500);
--- a/source/core/admission/service_times.cc
+++ b/source/core/admission/service_times.cc
@@ -9,7 +9,7 @@
 
 namespace {
 
-// Weight of one request in the means.
+// Weight of one request in the means, once some are known.
 constexpr double kGain = 0.1;
 
 // A request counts as at most this multiple of the mean. One download of two
@@ -24,36 +24,57 @@
 // distance from it.
 constexpr double kLikelyDeviations = 1.3;
 
-void Follow(double& mean, double sample) {
-  mean += kGain * (std::min(sample, kMaxRatio * mean) - mean);
+// The first samples count alike, and the first alone replaces what was assumed.
+//
+// Symptom without it: for seconds after a restart of all, owners take requests
+// of 340 ms for such of 20 ms. They refuse last attempts that could wait, and
+// start what is late before what is not.
+double GainAfter(std::uint32_t samples) {
+  return std::max(kGain, 1.0 / (samples + 1));
+}
+
+double Bounded(double sample, double mean, std::uint32_t samples) {
+  return samples == 0 ? sample : std::min(sample, kMaxRatio * mean);
+}
+
+void Follow(double& mean, std::uint32_t& samples, double sample) {
+  mean += GainAfter(samples) * (Bounded(sample, mean, samples) - mean);
+  ++samples;
 }
 
 }  // namespace
 
 ServiceTimes::ServiceTimes(Duration initial)
-    : m_per_unit{ToSeconds(initial), ToSeconds(initial), 0} {}
+    : m_per_unit{.first_byte = ToSeconds(initial),
+                 .slot_time = ToSeconds(initial)} {}
 
 void ServiceTimes::OnFirstByte(const KindName& kind,
                                double weight,
                                Duration elapsed) {
-  Follow(m_per_unit.first_byte, ToSeconds(elapsed) / weight);
+  Follow(m_per_unit.first_byte, m_per_unit.first_bytes,
+         ToSeconds(elapsed) / weight);
   Means* const means = Learn(kind, weight);
   if (!means)
     return;
+  const std::uint32_t samples = means->first_bytes;
   const double seconds =
-      std::min(ToSeconds(elapsed), kMaxRatio * means->first_byte);
-  means->first_byte_deviation +=
-      kGain *
-      (std::abs(seconds - means->first_byte) - means->first_byte_deviation);
-  Follow(means->first_byte, seconds);
+      Bounded(ToSeconds(elapsed), means->first_byte, samples);
+  // How far the first one is from what was assumed says nothing.
+  if (samples > 0) {
+    const double distance = std::abs(seconds - means->first_byte);
+    means->first_byte_deviation +=
+        GainAfter(samples - 1) * (distance - means->first_byte_deviation);
+  }
+  Follow(means->first_byte, means->first_bytes, seconds);
 }
 
 void ServiceTimes::OnSlotFreed(const KindName& kind,
                                double weight,
                                Duration elapsed) {
-  Follow(m_per_unit.slot_time, ToSeconds(elapsed) / weight);
+  Follow(m_per_unit.slot_time, m_per_unit.slot_times,
+         ToSeconds(elapsed) / weight);
   if (Means* means = Learn(kind, weight))
-    Follow(means->slot_time, ToSeconds(elapsed));
+    Follow(means->slot_time, means->slot_times, ToSeconds(elapsed));
 }
 
 void ServiceTimes::OnCutShort(const KindName& kind,
--- a/source/core/admission/service_times.h
+++ b/source/core/admission/service_times.h
@@ -4,6 +4,7 @@
 #ifndef BULRUSHMOUNT_CORE_ADMISSION_SERVICE_TIMES_H_
 #define BULRUSHMOUNT_CORE_ADMISSION_SERVICE_TIMES_H_
 
+#include <cstdint>
 #include <unordered_map>
 
 #include "core/common/ids.h"
@@ -31,6 +32,9 @@
   Duration LikelyFirstByte(const KindName& kind, double weight) const;
   Duration SlotTime(const KindName& kind, double weight) const;
 
+  // A request has been answered.
+  bool is_known() const { return m_per_unit.first_bytes > 0; }
+
   // Recent means for a request of weight 1, over all kinds.
   Duration first_byte_per_unit() const;
   Duration slot_time_per_unit() const;
@@ -42,6 +46,9 @@
     double slot_time = 0;
     // How far first bytes are from their mean.
     double first_byte_deviation = 0;
+    // How many of each have been learnt.
+    std::uint32_t first_bytes = 0;
+    std::uint32_t slot_times = 0;
   };
 
   // Null if there are too many kinds.
--- a/source/unit_tests/core/node_logic/nested_overload_test.cc
+++ b/source/unit_tests/core/node_logic/nested_overload_test.cc
@@ -108,13 +108,15 @@
  protected:
   // Requests come for `length`, with so many calls of what the called service
   // can do.
-  OverloadResult Play(double load, Duration length) {
-    Fleet fleet(Options(), kSeed);
+  OverloadResult Play(double load,
+                      Duration length,
+                      std::uint64_t seed = kSeed) {
+    Fleet fleet(Options(), seed);
     // Until all know the routes and each other, and targets are warm.
     fleet.Run(20s);
     for (std::size_t node = 0; node < kCalledNodes; ++node)
       fleet.SetServiceTime(node, kLookupTime);
-    SeededRandomSource random(kSeed);
+    SeededRandomSource random(seed);
     const double per_second = load * kCapacity / kLookupsOfARequest;
     const TimePoint end = fleet.now() + length;
     m_requests.clear();
@@ -206,6 +208,19 @@
       << over.asked;
 }
 
+// One play of four seconds is off by a tenth either way; eight together tell
+// whether the goal is met.
+TEST_P(NestedOverloadTest, MoreThanCanBeServedCostsNoGoodAnswersOverSeeds) {
+  constexpr std::uint64_t kSeeds = 8;
+  double full = 0;
+  double over = 0;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    full += Play(1.0, 4s, seed).served;
+    over += Play(GetParam().load, 4s, seed).served;
+  }
+  EXPECT_GE(over, kGoodputGoal * full);
+}
+
 // What bounds an overload must not make one of a load that can be served.
 TEST_P(NestedOverloadTest, AllThatCanBeServedIsServed) {
   const OverloadResult below = Play(0.9, 4s);
