--- a/source/core/membership/membership.h
+++ b/source/core/membership/membership.h
@@ -183,7 +183,6 @@
                   bool is_answer);
   void TrySeeds(TimePoint now);
   void OnDigest(TimePoint now, const Endpoint& from, const gossip::Gossip& in);
-  std::size_t ReplyDatagrams(bool is_joining) const;
   void AddBroadcasts(TimePoint now, detail::GossipWriter& writer);
   void OnSyncReply(TimePoint now, const gossip::Gossip& in);
 
