--- a/source/unit_tests/core/node_logic/fleet.h
+++ b/source/unit_tests/core/node_logic/fleet.h
@@ -172,7 +172,7 @@
   void SubmitToTable(std::size_t node, const SubmitTableRequest& action);
   void KeepWatch(std::size_t node, const SubmitTableRequest& action);
   void AnswerWatch(const OpenWatch& watch);
-  void AnswerTable(const OpenWatch& asker, TableReply reply);
+  void AnswerTable(const OpenWatch& asker, const TableReply& reply);
 
   void Answer(CallId call, Outcome outcome, Reason reason);
   void FinishRun(std::size_t node,
--- a/source/unit_tests/core/node_logic/fleet_actions.cc
+++ b/source/unit_tests/core/node_logic/fleet_actions.cc
@@ -315,10 +315,10 @@
   TableReply reply = m_table.table().Apply(TableGet{watch.key});
   for (const Row& row : reply.rows)
     reply.as_of = std::max(reply.as_of, row.version);
-  AnswerTable(watch, std::move(reply));
+  AnswerTable(watch, reply);
 }
 
-void Fleet::AnswerTable(const OpenWatch& asker, TableReply reply) {
+void Fleet::AnswerTable(const OpenWatch& asker, const TableReply& reply) {
   m_time.After(kTableDelay, [this, asker, reply] {
     if (m_nodes[asker.node]->life == asker.life)
       Deliver(asker.node, TableReplied{asker.request, reply});
--- a/source/unit_tests/core/node_logic/nested_overload_test.cc
+++ b/source/unit_tests/core/node_logic/nested_overload_test.cc
@@ -211,10 +211,10 @@
 // One play of four seconds is off by a tenth either way; eight together tell
 // whether the goal is met.
 TEST_P(NestedOverloadTest, MoreThanCanBeServedCostsNoGoodAnswersOverSeeds) {
-  constexpr std::uint64_t kSeeds = 8;
+  constexpr std::uint64_t seed_count = 8;
   double full = 0;
   double over = 0;
-  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+  for (std::uint64_t seed = 1; seed <= seed_count; ++seed) {
     full += Play(1.0, 4s, seed).served;
     over += Play(GetParam().load, 4s, seed).served;
   }
--- a/source/unit_tests/core/reporting/log_digest_test.cc
+++ b/source/unit_tests/core/reporting/log_digest_test.cc
@@ -120,15 +120,15 @@
 // Days of logs take no more memory than an hour's, and lose no count.
 TEST(LogDigestTest, WidensItsWindowsWhereThereAreMany) {
   LogDigest digest;
-  constexpr std::uint64_t kSeconds = 4 * LogDigest::kMostWindows;
-  for (std::uint64_t second = 0; second < kSeconds; ++second)
+  constexpr std::uint64_t seconds = 4 * LogDigest::kMostWindows;
+  for (std::uint64_t second = 0; second < seconds; ++second)
     digest.AddLine(CallLine("a", static_cast<double>(second), 1));
   digest.Finish();
   EXPECT_LE(digest.windows().size(), LogDigest::kMostWindows);
   std::uint64_t calls = 0;
   for (const auto& [begin, window] : digest.windows())
     calls += window.calls.at("not-run/overloaded");
-  EXPECT_EQ(calls, kSeconds);
+  EXPECT_EQ(calls, seconds);
 }
 
 TEST(LogDigestTest, CountsWhatDiffersTooMuchTogether) {
