--- a/source/benchmarks/capacity_benchmark.cc
+++ b/source/benchmarks/capacity_benchmark.cc
@@ -3,7 +3,7 @@
 // after the loss of an availability zone, and at a common restart with a slow
 // table. Prints one line of key=value pairs a figure.
 //
-//   capacity_benchmark SEED MEMBERS SERVICES CUSTOMERS CALLS_PER_S PHASE...
+//   capacity_benchmark SEED MEMBERS SERVICES WORKSPACES CALLS_PER_S PHASE...
 //
 // Phases, in the order given: idle calls load zone restart. CALLS_PER_S is for
 // each entry.
@@ -64,9 +64,9 @@
 };
 
 std::string Prefix(const Options& options, const std::string& phase) {
-  return fmt::format("members={} services={} customers={} phase={}",
+  return fmt::format("members={} services={} workspaces={} phase={}",
                      options.network.nodes, options.network.services,
-                     options.network.customers, phase);
+                     options.network.workspaces, phase);
 }
 
 void PrintHeap(const Options& options,
@@ -332,7 +332,7 @@
   using namespace bulrushmount;  // NOLINT(google-build-using-namespace)
   if (argc < 6) {
     std::fputs(
-        "usage: capacity_benchmark SEED MEMBERS SERVICES CUSTOMERS "
+        "usage: capacity_benchmark SEED MEMBERS SERVICES WORKSPACES "
         "CALLS_PER_S [idle|calls|load|zone|restart]...\n",
         stderr);
     return 2;
@@ -344,7 +344,7 @@
   options.network.seed = std::strtoull(argv[1], nullptr, 10);
   options.network.nodes = std::strtoull(argv[2], nullptr, 10);
   options.network.services = std::strtoull(argv[3], nullptr, 10);
-  options.network.customers = std::strtoull(argv[4], nullptr, 10);
+  options.network.workspaces = std::strtoull(argv[4], nullptr, 10);
   options.calls_per_second = std::strtod(argv[5], nullptr);
   const std::size_t heap = HeapBytes();
   NodeNetwork network(options.network);
--- a/source/benchmarks/claims_benchmark.cc
+++ b/source/benchmarks/claims_benchmark.cc
@@ -138,7 +138,7 @@
     m_ids.push_back({});
     m_ids[booking] = m_book.Acquire(
         now,
-        {CustomerName("studio"),
+        {WorkspaceName("studio"),
          IdempotencyKey(fmt::format("booking-{}", booking)), Fingerprint(1),
          now + 2s, std::chrono::hours(24)},
         [this, now, booking](TimePoint then, const ClaimResult& result) {
@@ -224,7 +224,7 @@
   std::vector<CallRecord> records;
   for (int kind = 0; kind < kSeries; ++kind) {
     CallRecord record;
-    record.customer = CustomerName(fmt::format("customer-{}", kind / 5));
+    record.workspace = WorkspaceName(fmt::format("workspace-{}", kind / 5));
     record.service = ServiceName("desk");
     record.kind = KindName(fmt::format("kind-{}", kind % 5));
     record.latency = std::chrono::microseconds(100 + 997 * kind);
@@ -243,7 +243,8 @@
   const BurnReport report = recorder.Snapshot(now);
   const Duration snapshot = std::chrono::steady_clock::now() - snapshot_start;
   fmt::print(
-      "recorder: {:.0f} ns a call, {:.0f} bytes a series of customer and kind, "
+      "recorder: {:.0f} ns a call, {:.0f} bytes a series of workspace and "
+      "kind, "
       "snapshot of {} series {:.2f} ms\n",
       ToSeconds(recorded) * 1e9 / kCalls,
       static_cast<double>(heap_after - heap_records) / kSeries,
--- a/source/benchmarks/limits_benchmark.cc
+++ b/source/benchmarks/limits_benchmark.cc
@@ -1,5 +1,5 @@
-// Measures the customer limits and the quarantine, in virtual time but for the
-// processor's: what a customer gets beyond its limit when homes die, the fleet
+// Measures the workspace limits and the quarantine, in virtual time but for the
+// processor's: what a workspace gets beyond its limit when homes die, the fleet
 // is cut or nodes are stopped; the datagrams; the time of one admission; the
 // targets that one poison request crashes.
 //   limits_benchmark [SEED [SECTION]]
@@ -27,7 +27,7 @@
 using std::chrono_literals::operator""ms;
 
 constexpr std::uint64_t kDefaultSeed = 20261202;
-const CustomerName kCustomer{"paramo"};
+const WorkspaceName kWorkspace{"paramo"};
 
 // --- Over-admission ---------------------------------------------------------
 
@@ -98,17 +98,17 @@
 void MeasureOverAdmission(std::size_t nodes,
                           const Scenario& scenario,
                           std::uint64_t seed) {
-  const CustomerLimits limits{1000, 500, 100000};
+  const WorkspaceLimits limits{1000, 500, 100000};
   LimiterFleet fleet(nodes, seed);
-  fleet.SetLimits(kCustomer, limits);
-  LimiterLoad load(fleet, kCustomer, limits);
+  fleet.SetLimits(kWorkspace, limits);
+  LimiterLoad load(fleet, kWorkspace, limits);
   const double each =
       kOverload * limits.units_per_second / static_cast<double>(nodes);
   const std::vector<double> rates(nodes, each);
   load.Run(kWarmUp, rates);
   load.Reset();
 
-  const std::size_t home = fleet.HomeOf(kCustomer);
+  const std::size_t home = fleet.HomeOf(kWorkspace);
   double worst_window = 0;
   const auto run = [&](double seconds) {
     const double before = load.admitted();
@@ -128,13 +128,14 @@
              load.meter().worst() / limits.burst_units);
 }
 
-// Every entry gets the first calls of an idle customer in the same millisecond.
+// Every entry gets the first calls of an idle workspace in the same
+// millisecond.
 void MeasureSpray(std::size_t nodes, std::uint64_t seed) {
-  const CustomerLimits limits{1000, 500, 100000};
+  const WorkspaceLimits limits{1000, 500, 100000};
   LimiterFleet fleet(nodes, seed);
-  fleet.SetLimits(kCustomer, limits);
+  fleet.SetLimits(kWorkspace, limits);
   fleet.Advance(60s);
-  LimiterLoad load(fleet, kCustomer, limits);
+  LimiterLoad load(fleet, kWorkspace, limits);
   for (std::size_t index = 0; index < nodes; ++index) {
     for (int call = 0; call < 20; ++call)
       load.Call(index);
@@ -150,16 +151,16 @@
 constexpr Duration kColdRun = 120s;
 
 // `entries` of the nodes begin in the same moment to see an overloaded
-// customer. Prints from when on the rest of the run admits kLentWell of the
+// workspace. Prints from when on the rest of the run admits kLentWell of the
 // limit in each window, and the most bytes that a node sent in a window.
 void MeasureColdStart(std::size_t nodes,
                       std::size_t entries,
                       std::uint64_t seed) {
-  const CustomerLimits limits{1000, 500, 100000};
+  const WorkspaceLimits limits{1000, 500, 100000};
   LimiterFleet fleet(nodes, seed);
-  fleet.SetLimits(kCustomer, limits);
+  fleet.SetLimits(kWorkspace, limits);
   fleet.Advance(60s);
-  LimiterLoad load(fleet, kCustomer, limits);
+  LimiterLoad load(fleet, kWorkspace, limits);
   std::vector<double> rates(nodes, 0);
   // Different rates, or all entries would call in the same milliseconds and a
   // window's count would say little.
@@ -199,13 +200,13 @@
 
 void MeasureDatagrams(std::size_t nodes,
                       std::size_t active,
-                      std::size_t customers,
+                      std::size_t workspaces,
                       std::uint64_t seed) {
-  const CustomerLimits limits{10000, 5000, 10000};
+  const WorkspaceLimits limits{10000, 5000, 10000};
   LimiterFleet fleet(nodes, seed);
-  std::vector<CustomerName> names;
-  for (std::size_t index = 0; index < customers; ++index) {
-    names.emplace_back("customer" + std::to_string(index));
+  std::vector<WorkspaceName> names;
+  for (std::size_t index = 0; index < workspaces; ++index) {
+    names.emplace_back("workspace" + std::to_string(index));
     fleet.SetLimits(names.back(), limits);
   }
   SeededRandomSource random(seed);
@@ -217,9 +218,9 @@
       due += kCallsPerSecond * ToSeconds(LimiterFleet::kStep);
       for (; due >= 1; due -= 1) {
         for (std::size_t node = 0; node < nodes; ++node) {
-          // Each entry sees its own part of the customers.
+          // Each entry sees its own part of the workspaces.
           const std::size_t pick =
-              (node * 7 + random.Index(active)) % customers;
+              (node * 7 + random.Index(active)) % workspaces;
           const Reason reason =
               fleet.node(node).TryAdmit(fleet.now(), names[pick], 1);
           if (reason == Reason::kNone)
@@ -233,36 +234,36 @@
   run(kSeconds);
   const double node_seconds = static_cast<double>(nodes) * kSeconds;
   fmt::print(
-      "{:6} {:8} {:10} {:12.2f} {:12.0f} {:12.0f}\n", nodes, active, customers,
+      "{:6} {:8} {:10} {:12.2f} {:12.0f} {:12.0f}\n", nodes, active, workspaces,
       static_cast<double>(fleet.network().sent()) / node_seconds,
       static_cast<double>(fleet.network().WireBytes()) / node_seconds,
       static_cast<double>(fleet.network().MostWireBytesOfANode()) / kSeconds);
 }
 
-// One customer at every entry: its home has the most to answer.
+// One workspace at every entry: its home has the most to answer.
 void MeasureBusyHome(std::size_t nodes, std::uint64_t seed) {
   MeasureDatagrams(nodes, 1, 1, seed);
 }
 
 // --- Processor --------------------------------------------------------------
 
-constexpr int kCustomers = 200;
+constexpr int kWorkspaces = 200;
 constexpr int kCalls = 4'000'000;
 
 void MeasureAdmission(bool is_refused) {
   LimiterFleet fleet(1, 1);
-  std::vector<CustomerName> names;
-  for (int index = 0; index < kCustomers; ++index) {
-    names.emplace_back("customer" + std::to_string(index));
-    fleet.SetLimits(names.back(), is_refused ? CustomerLimits{1, 1, 100}
-                                             : CustomerLimits{1e9, 1e9, 100});
+  std::vector<WorkspaceName> names;
+  for (int index = 0; index < kWorkspaces; ++index) {
+    names.emplace_back("workspace" + std::to_string(index));
+    fleet.SetLimits(names.back(), is_refused ? WorkspaceLimits{1, 1, 100}
+                                             : WorkspaceLimits{1e9, 1e9, 100});
   }
   fleet.Advance(10s);
   int admitted = 0;
   const auto begin = Now();
   for (int call = 0; call < kCalls; ++call) {
-    const CustomerName& name =
-        names[static_cast<std::size_t>(call) % kCustomers];
+    const WorkspaceName& name =
+        names[static_cast<std::size_t>(call) % kWorkspaces];
     if (fleet.node(0).TryAdmit(fleet.now(), name, 1) == Reason::kNone) {
       ++admitted;
       fleet.node(0).OnCallEnded(fleet.now(), name);
@@ -338,13 +339,13 @@
 void RunDatagrams(std::uint64_t seed) {
   fmt::print("\nDatagrams sent (200 calls a second and node)\n");
   fmt::print("{:>6} {:>8} {:>10} {:>12} {:>12} {:>12}\n", "nodes", "active",
-             "customers", "a node/s", "bytes/s", "most bytes/s");
+             "workspaces", "a node/s", "bytes/s", "most bytes/s");
   MeasureBusyHome(11, seed);
   MeasureBusyHome(100, seed);
   MeasureBusyHome(1100, seed);
   MeasureDatagrams(11, 10, 20, seed);
   MeasureDatagrams(100, 50, 500, seed);
-  // Customers that call so rarely that they are idle in between.
+  // Workspaces that call so rarely that they are idle in between.
   MeasureDatagrams(100, 2000, 2000, seed);
   MeasureDatagrams(1100, 50, 2000, seed);
   MeasureDatagrams(1100, 200, 2000, seed);
--- a/source/benchmarks/node_network.cc
+++ b/source/benchmarks/node_network.cc
@@ -44,9 +44,9 @@
   cost.longest_ns = std::max(cost.longest_ns, net);
 }
 
-std::string ContractOf(const std::string& customer,
+std::string ContractOf(const std::string& workspace,
                        const std::string& service) {
-  return fmt::format(R"(customer: {}
+  return fmt::format(R"(workspace: {}
 services:
   - name: {}
     kinds:
@@ -61,7 +61,7 @@
 share: 1
 key_retention: 24h
 )",
-                     customer, service);
+                     workspace, service);
 }
 
 }  // namespace
@@ -152,13 +152,13 @@
 }
 
 bool NodeNetwork::WriteContracts() {
-  for (std::size_t i = 0; i < m_settings.customers; ++i) {
+  for (std::size_t i = 0; i < m_settings.workspaces; ++i) {
     OperatorRequested request;
     request.request = OperatorRequestId(++m_last_id);
     request.verb = OperatorVerb::kWrite;
-    request.customer = CustomerName(fmt::format("customer-{}", i));
-    request.body =
-        ContractOf(request.customer.value(), ServiceOf(i, m_settings.services));
+    request.workspace = WorkspaceName(fmt::format("workspace-{}", i));
+    request.body = ContractOf(request.workspace.value(),
+                              ServiceOf(i, m_settings.services));
     m_operator_answer.reset();
     Deliver(0, request);
     const TimePoint end = m_now + std::chrono::seconds(30);
@@ -268,12 +268,12 @@
     Schedule(Duration(0), Step{i, m_nodes[i].life, NextCall{}});
 }
 
-CallArrived NodeNetwork::MakeCall(std::size_t customer) {
+CallArrived NodeNetwork::MakeCall(std::size_t workspace) {
   CallArrived event;
   event.call = CallId(++m_last_id);
   event.head.request_id = RequestId(fmt::format("request-{}", m_last_id));
-  event.head.customer = CustomerName(fmt::format("customer-{}", customer));
-  event.head.service = ServiceName(ServiceOf(customer, m_settings.services));
+  event.head.workspace = WorkspaceName(fmt::format("workspace-{}", workspace));
+  event.head.service = ServiceName(ServiceOf(workspace, m_settings.services));
   event.head.method = "GET";
   event.head.target = "/scripts/7?chapter=12";
   event.head.fingerprint = Fingerprint(m_random.NextBits());
@@ -286,9 +286,9 @@
   const double gap_s = -std::log(1 - m_random.Fraction()) / m_calls_per_second;
   Schedule(std::chrono::nanoseconds(static_cast<std::int64_t>(gap_s * 1e9)),
            Step{index, m_nodes[index].life, NextCall{}});
-  const std::size_t customer = m_random.Index(m_settings.customers);
+  const std::size_t workspace = m_random.Index(m_settings.workspaces);
   ++m_counts.calls;
-  Deliver(index, MakeCall(customer));
+  Deliver(index, MakeCall(workspace));
 }
 
 bool NodeNetwork::ExerciseCall(std::size_t node) {
@@ -296,7 +296,7 @@
     return std::find_if(actions.begin(), actions.end(), is_wanted);
   };
   const std::vector<NodeAction> sent =
-      Handle(node, MakeCall(m_random.Index(m_settings.customers)));
+      Handle(node, MakeCall(m_random.Index(m_settings.workspaces)));
   const auto dispatch = find(sent, [](const NodeAction& action) {
     return std::holds_alternative<DispatchAttempt>(action);
   });
--- a/source/benchmarks/node_network.h
+++ b/source/benchmarks/node_network.h
@@ -73,7 +73,7 @@
 struct NetworkSettings {
   std::size_t nodes = 10;
   std::size_t services = 1;
-  std::size_t customers = 1;
+  std::size_t workspaces = 1;
   std::uint64_t seed = 1;
 };
 
@@ -91,7 +91,7 @@
   // Tells each node the records of all others, as they are after
   // `incarnation - 1` changes of themselves.
   void Acquaint(std::uint64_t incarnation, bool is_warming);
-  // Writes one contract for each customer by the first node; false if one was
+  // Writes one contract for each workspace by the first node; false if one was
   // not answered in 30 s.
   bool WriteContracts();
 
@@ -155,7 +155,7 @@
   void Take(Step step);
   void Deliver(std::size_t node, NodeEvent event);
   void AskWakeup(std::size_t index);
-  CallArrived MakeCall(std::size_t customer);
+  CallArrived MakeCall(std::size_t workspace);
   std::vector<NodeAction> Handle(std::size_t node, NodeEvent event);
   void SendCall(std::size_t node);
   void AnnounceTarget(std::size_t node);
--- a/source/benchmarks/policy_benchmark.cc
+++ b/source/benchmarks/policy_benchmark.cc
@@ -57,7 +57,7 @@
      .load = 0.5,
      .fault = Fault::kBursts,
      .burst = 50ms},
-    // One customer within its limit, alone and beside one over its limit.
+    // One workspace within its limit, alone and beside one over its limit.
     {.name = "alone-40", .load = 0.4},
     {.name = "beside-flood", .load = 0.4, .flood = 1.0, .flood_limit = 0.3},
     {.name = "lying-slow",
@@ -127,7 +127,7 @@
      .trusts_endpoints = true},
 };
 
-// With two customers: the fair queue alone, without the customers' limits.
+// With two workspaces: the fair queue alone, without the workspaces' limits.
 const std::vector<Policy> kLimitlessPolicies = {
     {.name = "ours-no-limits",
      .make_picker = MakeOurs,
--- a/source/benchmarks/policy_control.cc
+++ b/source/benchmarks/policy_control.cc
@@ -1,4 +1,4 @@
-// Part of `policy_run.h`: what stands around a call's way, the customers'
+// Part of `policy_run.h`: what stands around a call's way, the workspaces'
 // limits and the targets' lives with their probes.
 
 #include "benchmarks/policy_run.h"
@@ -9,8 +9,8 @@
 
 namespace {
 
-const CustomerName kMeasured("within");
-const CustomerName kFlooding("over");
+const WorkspaceName kMeasured("within");
+const WorkspaceName kFlooding("over");
 constexpr std::uint32_t kInFlightLimit = 100000;
 // The fleet is no new one. In one that starts all at once a home lends nothing
 // in its first 5 s, and entries have their small allowance alone.
@@ -20,7 +20,7 @@
 constexpr Duration kHealthLag = std::chrono::milliseconds(500);
 constexpr Duration kLifeStep = std::chrono::milliseconds(5);
 
-CustomerLimits LimitsOf(double units_per_second) {
+WorkspaceLimits LimitsOf(double units_per_second) {
   return {.units_per_second = units_per_second,
           .burst_units = units_per_second / 2,
           .in_flight = kInFlightLimit};
@@ -28,7 +28,7 @@
 
 }  // namespace
 
-CustomerName PolicyRun::CustomerOf(const Arrival& arrival) {
+WorkspaceName PolicyRun::WorkspaceOf(const Arrival& arrival) {
   return arrival.is_flood ? kFlooding : kMeasured;
 }
 
--- a/source/benchmarks/policy_run.cc
+++ b/source/benchmarks/policy_run.cc
@@ -85,7 +85,7 @@
   if (m_limiters) {
     const Reason reason = m_limiters->node(arrival.entry)
                               .TryAdmit(m_now + m_limiters_ahead,
-                                        CustomerOf(arrival), arrival.weight);
+                                        WorkspaceOf(arrival), arrival.weight);
     if (reason != Reason::kNone) {
       Finish(index, &Result::refused);
       return;
@@ -177,7 +177,7 @@
     m_entries[call.arrival->entry].budget.Return(kService);
   if (call.is_admitted) {
     m_limiters->node(call.arrival->entry)
-        .OnCallEnded(m_now + m_limiters_ahead, CustomerOf(*call.arrival));
+        .OnCallEnded(m_now + m_limiters_ahead, WorkspaceOf(*call.arrival));
   }
   if (call.arrival->at < kMeasureFrom)
     return;
@@ -249,7 +249,7 @@
   }
   if (target.admission) {
     const bool is_light = arrival.weight <= 1;
-    AdmissionRequest request{.customer = CustomerOf(arrival),
+    AdmissionRequest request{.workspace = WorkspaceOf(arrival),
                              .kind = KindName(is_light ? "light" : "heavy"),
                              .weight = arrival.weight,
                              .is_last_attempt = is_last};
--- a/source/benchmarks/policy_run.h
+++ b/source/benchmarks/policy_run.h
@@ -31,7 +31,7 @@
   std::function<std::unique_ptr<TargetPicker>(const Shape&)> make_picker;
   // Without one the target takes everything, and nothing is refused or retried.
   std::function<std::unique_ptr<Admission>()> make_admission;
-  // Customers are held to their limits.
+  // Workspaces are held to their limits.
   bool has_limits = true;
   // Takes a target's own load endpoint for the truth.
   bool trusts_endpoints = false;
@@ -84,13 +84,13 @@
     Dispatch dispatch;
     // A retry is reserved for it.
     bool has_retry = false;
-    // Counts for its customer's limit.
+    // Counts for its workspace's limit.
     bool is_admitted = false;
     bool is_done = false;
   };
 
   static NodeId IdOf(std::size_t node) { return NodeId(node + 1); }
-  static CustomerName CustomerOf(const Arrival& arrival);
+  static WorkspaceName WorkspaceOf(const Arrival& arrival);
 
   void At(TimePoint when, std::function<void()> act);
   Duration DelayBetween(std::size_t from, std::size_t to) const;
@@ -138,7 +138,7 @@
   std::vector<Entry> m_entries;
   std::vector<Target> m_targets;
   std::vector<Call> m_calls;
-  // Of all entries; with a second customer only.
+  // Of all entries; with a second workspace only.
   std::optional<LimiterFleet> m_limiters;
   // The fleet's clock less this run's: given the wrong one, limiters would
   // take their loans for long lapsed or far in the future.
--- a/source/benchmarks/policy_workload.cc
+++ b/source/benchmarks/policy_workload.cc
@@ -18,7 +18,7 @@
 constexpr Duration kDeadlinePerWeight = std::chrono::milliseconds(150);
 constexpr double kBurstLoad = 2.5;
 constexpr double kMeanWeight = 1 + kHeavyChance * (kHeavyWeight - 1);
-// Of the arrivals of the customer that floods.
+// Of the arrivals of the workspace that floods.
 constexpr std::uint64_t kFloodSeed = 0x9e3779b97f4a7c15U;
 
 std::vector<Arrival> MakeArrivalsOfOne(const Shape& shape,
@@ -116,7 +116,7 @@
   Result result;
   std::vector<TimePoint> free_at(shape.targets * shape.slots);
   for (const Arrival& arrival : arrivals) {
-    // The bound of a customer that is alone.
+    // The bound of a workspace that is alone.
     if (arrival.is_flood)
       continue;
     TimePoint best_end = TimePoint::max();
--- a/source/benchmarks/policy_workload.h
+++ b/source/benchmarks/policy_workload.h
@@ -50,7 +50,7 @@
   Fault fault = Fault::kNone;
   // Of each burst; 5 to 50 ms, drawn anew each time, if empty.
   std::optional<Duration> burst{};
-  // What a second customer offers, and may have by its contract. The results
+  // What a second workspace offers, and may have by its contract. The results
   // are those of the first one.
   double flood = 0;
   double flood_limit = 0;
@@ -100,7 +100,7 @@
   std::size_t late = 0;
   std::size_t errors = 0;
   std::size_t retries = 0;
-  // Good answers of the customer that floods.
+  // Good answers of the workspace that floods.
   std::size_t flood_good = 0;
 };
 
--- a/source/benchmarks/restart_benchmark.cc
+++ b/source/benchmarks/restart_benchmark.cc
@@ -1,5 +1,5 @@
 // Prints what the death, the restart and the return of one node cost in control
-// bytes of the customer limits and of the quarantine, in virtual time.
+// bytes of the workspace limits and of the quarantine, in virtual time.
 //   restart_benchmark [SEED]
 
 #include <chrono>
@@ -37,13 +37,13 @@
   network.ForgetSent();
 }
 
-// Calls at all entries, each for one of its `active` customers.
+// Calls at all entries, each for one of its `active` workspaces.
 class EvenCalls {
  public:
-  EvenCalls(std::size_t active, std::size_t customers, std::uint64_t seed)
+  EvenCalls(std::size_t active, std::size_t workspaces, std::uint64_t seed)
       : m_fleet(kNodes, seed), m_random(seed), m_active(active) {
-    for (std::size_t index = 0; index < customers; ++index) {
-      m_names.emplace_back("customer" + std::to_string(index));
+    for (std::size_t index = 0; index < workspaces; ++index) {
+      m_names.emplace_back("workspace" + std::to_string(index));
       m_fleet.SetLimits(m_names.back(), {10000, 5000, 10000});
     }
   }
@@ -73,9 +73,9 @@
     for (std::size_t index = 0; index < kNodes; ++index) {
       if (!m_fleet.IsRunning(index))
         continue;
-      const CustomerName& name =
+      const WorkspaceName& name =
           m_names[(index * 7 + m_random.Index(m_active)) % m_names.size()];
-      CustomerLimiter& node = m_fleet.node(index);
+      WorkspaceLimiter& node = m_fleet.node(index);
       if (node.TryAdmit(m_fleet.now(), name, 1) == Reason::kNone)
         node.OnCallEnded(m_fleet.now(), name);
     }
@@ -84,15 +84,15 @@
   LimiterFleet m_fleet;
   SeededRandomSource m_random;
   std::size_t m_active;
-  std::vector<CustomerName> m_names;
+  std::vector<WorkspaceName> m_names;
   double m_due = 0;
 };
 
 void MeasureLimits(std::size_t active,
-                   std::size_t customers,
+                   std::size_t workspaces,
                    std::uint64_t seed) {
-  fmt::print("limits: {} active of {} customers\n", active, customers);
-  EvenCalls calls(active, customers, seed);
+  fmt::print("limits: {} active of {} workspaces\n", active, workspaces);
+  EvenCalls calls(active, workspaces, seed);
   calls.Run(kSettling);
   calls.fleet().network().ForgetSent();
   const std::size_t home = calls.BusyHome();
--- a/source/benchmarks/routing_benchmark.cc
+++ b/source/benchmarks/routing_benchmark.cc
@@ -1,5 +1,5 @@
 // How many decisions a second the pickers and the admission make, by the number
-// of targets of one service or of customers in the queue.
+// of targets of one service or of workspaces in the queue.
 
 #include <algorithm>
 #include <chrono>
@@ -72,7 +72,7 @@
 }
 BENCHMARK(LeastReported)->Arg(10)->Arg(100)->Arg(1100);
 
-// Arrival and end of a work while all slots are taken and `range(0)` customers
+// Arrival and end of a work while all slots are taken and `range(0)` workspaces
 // have works in the queue.
 void AdmissionWithQueue(benchmark::State& state) {
   Admission admission(
@@ -82,17 +82,17 @@
   admission.SetTarget(now, 12, 220);
   std::uint64_t last = 0;
   std::uint64_t ended = 0;
-  const auto customers = static_cast<std::uint64_t>(state.range(0));
+  const auto workspaces = static_cast<std::uint64_t>(state.range(0));
   const auto arrive = [&] {
     ++last;
     return admission.Arrive(
         now, WorkId(last),
-        {.customer =
-             CustomerName("customer-" + std::to_string(last % customers)),
+        {.workspace =
+             WorkspaceName("workspace-" + std::to_string(last % workspaces)),
          .kind = KindName("browse"),
          .time_left = 10'000ms});
   };
-  while (admission.load().queued < std::max<std::uint64_t>(customers, 6))
+  while (admission.load().queued < std::max<std::uint64_t>(workspaces, 6))
     arrive();
   for (auto _ : state) {
     now += 800us;
--- a/source/bulrushmountctl/ctl_commands.cc
+++ b/source/bulrushmountctl/ctl_commands.cc
@@ -143,8 +143,8 @@
     const auto contract = ReadContract();
     if (!contract.has_value())
       return CtlExit::kUsage;
-    m_out << fmt::format("{}: no faults, customer {}\n", m_options.argument,
-                         contract->second.customer);
+    m_out << fmt::format("{}: no faults, workspace {}\n", m_options.argument,
+                         contract->second.workspace);
     return CtlExit::kDone;
   }
 
@@ -152,7 +152,7 @@
     const auto contract = ReadContract();
     if (!contract.has_value())
       return CtlExit::kUsage;
-    return Change({"PUT", "/contracts/" + contract->second.customer.value(),
+    return Change({"PUT", "/contracts/" + contract->second.workspace.value(),
                    contract->first, m_options.if_version});
   }
 
--- a/source/core/admission/admission.cc
+++ b/source/core/admission/admission.cc
@@ -79,7 +79,7 @@
   NoteQueue(now);
   m_rank_histories[request.rank].last_arrival = now;
   QueuedWork queued{.work = work,
-                    .customer = request.customer,
+                    .workspace = request.workspace,
                     .kind = request.kind,
                     .weight = request.weight,
                     .share = request.share,
@@ -266,7 +266,7 @@
 }
 
 void Admission::RefuseOverflow(AdmissionOutput& output) {
-  // The last to start goes, not the last to come: a customer that floods the
+  // The last to start goes, not the last to come: a workspace that floods the
   // queue pushes out its own works, never those of another.
   while (m_queue.works().size() > MaxQueue())
     output.refuse.push_back({m_queue.PopLast().work, Reason::kOverloaded});
--- a/source/core/admission/admission.h
+++ b/source/core/admission/admission.h
@@ -23,10 +23,10 @@
 namespace bulrushmount {
 
 struct AdmissionRequest {
-  CustomerName customer;
+  WorkspaceName workspace;
   KindName kind;
   double weight = 1.0;
-  // Of the customer's contract; weighs customers against each other.
+  // Of the workspace's contract; weighs workspaces against each other.
   double share = 1.0;
   Rank rank = 0;
   // Until the first byte of the answer must come.
--- a/source/core/admission/admission_queue.cc
+++ b/source/core/admission/admission_queue.cc
@@ -12,7 +12,7 @@
 
 namespace {
 
-// Beyond this many customers, those who have no more than others are dropped.
+// Beyond this many workspaces, those who have no more than others are dropped.
 constexpr std::size_t kPruneAt = 128;
 
 // The place of the work among those of its prospect: what is due first, and of
@@ -32,10 +32,10 @@
 
 // By the ids' values: clang-tidy takes the comparison of the strong types in a
 // tuple for a null pointer's.
-bool ByCustomer(const QueuedWork& left, const QueuedWork& right) {
-  return std::make_tuple(std::cref(left.customer.value()), left.prospect,
+bool ByWorkspace(const QueuedWork& left, const QueuedWork& right) {
+  return std::make_tuple(std::cref(left.workspace.value()), left.prospect,
                          OrderOf(left), left.work.value()) <
-         std::make_tuple(std::cref(right.customer.value()), right.prospect,
+         std::make_tuple(std::cref(right.workspace.value()), right.prospect,
                          OrderOf(right), right.work.value());
 }
 
@@ -91,7 +91,7 @@
 
 void AdmissionQueue::Charge(const QueuedWork& work) {
   m_virtual_time = std::max(m_virtual_time, work.start_tag);
-  m_finish_tags[work.customer] = work.start_tag + work.weight / work.share;
+  m_finish_tags[work.workspace] = work.start_tag + work.weight / work.share;
   if (m_finish_tags.size() < kPruneAt)
     return;
   std::erase_if(m_finish_tags, [this](const auto& entry) {
@@ -100,20 +100,20 @@
 }
 
 void AdmissionQueue::Reorder() {
-  std::sort(m_works.begin(), m_works.end(), ByCustomer);
+  std::sort(m_works.begin(), m_works.end(), ByWorkspace);
   const QueuedWork* before = nullptr;
   for (QueuedWork& work : m_works) {
-    if (before && before->customer == work.customer)
+    if (before && before->workspace == work.workspace)
       work.start_tag = before->start_tag + before->weight / before->share;
     else
-      work.start_tag = FirstTagOf(work.customer);
+      work.start_tag = FirstTagOf(work.workspace);
     before = &work;
   }
   std::sort(m_works.begin(), m_works.end(), ByStart);
 }
 
-double AdmissionQueue::FirstTagOf(const CustomerName& customer) const {
-  const auto found = m_finish_tags.find(customer);
+double AdmissionQueue::FirstTagOf(const WorkspaceName& workspace) const {
+  const auto found = m_finish_tags.find(workspace);
   if (found == m_finish_tags.end())
     return m_virtual_time;
   return std::max(m_virtual_time, found->second);
--- a/source/core/admission/admission_queue.h
+++ b/source/core/admission/admission_queue.h
@@ -1,6 +1,6 @@
 // The works that wait for a slot, in the order in which they are to start:
-// customers share the slots by weight (start-time fair queueing), and within a
-// customer the earliest objective or deadline goes first.
+// workspaces share the slots by weight (start-time fair queueing), and within a
+// workspace the earliest objective or deadline goes first.
 //
 // Load pattern: for some seconds more arrives than can be done in time. In the
 // order of deadlines everything is then answered just too late. So what cannot
@@ -30,7 +30,7 @@
 
 struct QueuedWork {
   WorkId work;
-  CustomerName customer;
+  WorkspaceName workspace;
   KindName kind;
   double weight = 1.0;
   // Above 0.
@@ -56,7 +56,7 @@
   void Push(QueuedWork work);
 
   // Removes and returns the first work, or the first that is no suspect; the
-  // work is charged to its customer as started.
+  // work is charged to its workspace as started.
   std::optional<QueuedWork> PopFirst(bool may_be_suspect);
 
   // Whether a work was waiting here under that id.
@@ -87,7 +87,7 @@
   const std::vector<QueuedWork>& works() const { return m_works; }
 
  private:
-  double FirstTagOf(const CustomerName& customer) const;
+  double FirstTagOf(const WorkspaceName& workspace) const;
   void Charge(const QueuedWork& work);
   void Reorder();
 
@@ -95,9 +95,9 @@
   std::vector<QueuedWork> m_works;
   // The start tag of the last work that started; never falls but by `Reset`.
   double m_virtual_time = 0;
-  // Where a customer's next work may start. Entries at or below
+  // Where a workspace's next work may start. Entries at or below
   // m_virtual_time say nothing and are dropped now and then.
-  std::unordered_map<CustomerName, double> m_finish_tags;
+  std::unordered_map<WorkspaceName, double> m_finish_tags;
 };
 
 }  // namespace bulrushmount
--- a/source/core/admission/ranked_queue.h
+++ b/source/core/admission/ranked_queue.h
@@ -34,7 +34,7 @@
   void Push(Rank rank, QueuedWork work, Duration cost);
 
   // Removes and returns the first work, or the first that is no suspect; it is
-  // charged to its rank and its customer as started.
+  // charged to its rank and its workspace as started.
   std::optional<QueuedWork> PopFirst(bool may_be_suspect);
 
   // Whether a work was waiting here under that id.
--- a/source/core/admission/service_times.h
+++ b/source/core/admission/service_times.h
@@ -1,5 +1,5 @@
 // How long the target takes for a request, learnt kind by kind: a weight says
-// what a request costs its customer, not how long it runs.
+// what a request costs its workspace, not how long it runs.
 
 #ifndef BULRUSHMOUNT_CORE_ADMISSION_SERVICE_TIMES_H_
 #define BULRUSHMOUNT_CORE_ADMISSION_SERVICE_TIMES_H_
--- a/source/core/claims/claim_book_state.cc
+++ b/source/core/claims/claim_book_state.cc
@@ -28,7 +28,7 @@
     SendReplies(now);
     return id;
   }
-  std::string row_key = ClaimRowKey(request.customer, request.key);
+  std::string row_key = ClaimRowKey(request.workspace, request.key);
   const auto local = m_by_key.find(row_key);
   if (local != m_by_key.end()) {
     Answer(std::move(callback),
--- a/source/core/claims/claim_row.cc
+++ b/source/core/claims/claim_row.cc
@@ -78,10 +78,10 @@
   return fmt::format("claim/{:04x}/", shard % kClaimShards);
 }
 
-std::string ClaimRowKey(const CustomerName& customer,
+std::string ClaimRowKey(const WorkspaceName& workspace,
                         const IdempotencyKey& key) {
-  const std::string name = fmt::format("{}/{}", PercentEncode(customer.value()),
-                                       PercentEncode(key.value()));
+  const std::string name = fmt::format(
+      "{}/{}", PercentEncode(workspace.value()), PercentEncode(key.value()));
   const std::size_t shard = XXH3_64bits(name.data(), name.size());
   return ClaimShardPrefix(shard) + name;
 }
--- a/source/core/claims/claim_row.h
+++ b/source/core/claims/claim_row.h
@@ -19,9 +19,9 @@
 // small part at a time.
 inline constexpr std::size_t kClaimShards = 65536;
 
-// "claim/<shard>/<customer>/<key>". Both names are percent-encoded, which is
+// "claim/<shard>/<workspace>/<key>". Both names are percent-encoded, which is
 // reversible, so two keys never share a row.
-std::string ClaimRowKey(const CustomerName& customer,
+std::string ClaimRowKey(const WorkspaceName& workspace,
                         const IdempotencyKey& key);
 
 // The prefix of a shard's rows; `shard` is below kClaimShards.
--- a/source/core/claims/claim_types.h
+++ b/source/core/claims/claim_types.h
@@ -36,7 +36,7 @@
 using ClaimId = StrongType<struct ClaimIdTag, std::uint64_t>;
 
 struct ClaimRequest {
-  CustomerName customer;
+  WorkspaceName workspace;
   IdempotencyKey key;
   // Tells whether a repeat of the key is the same request.
   Fingerprint fingerprint;
--- a/source/core/common/ids.h
+++ b/source/core/common/ids.h
@@ -31,9 +31,9 @@
 // Follows a call across nodes and into every log line about it.
 using RequestId = StrongType<struct RequestIdTag, std::string>;
 
-// Names that operators choose. One contract exists for each customer, so a
-// customer's name is also its contract's.
-using CustomerName = StrongType<struct CustomerNameTag, std::string>;
+// Names that operators choose. One contract exists for each workspace, so a
+// workspace's name is also its contract's.
+using WorkspaceName = StrongType<struct WorkspaceNameTag, std::string>;
 using ServiceName = StrongType<struct ServiceNameTag, std::string>;
 using KindName = StrongType<struct KindNameTag, std::string>;
 
--- a/source/core/common/outcome.h
+++ b/source/core/common/outcome.h
@@ -28,14 +28,14 @@
   // Faults of the request.
   kMalformedRequest = 1,
   kHeadTooLarge = 2,
-  kUnknownCustomer = 3,
+  kUnknownWorkspace = 3,
   kUnknownService = 4,
   kUnknownKind = 5,
   kIdempotencyKeyRequired = 6,
   kIdempotencyKeyReused = 7,
-  // Limits of the customer.
-  kCustomerRateLimit = 8,
-  kCustomerInFlightLimit = 9,
+  // Limits of the workspace.
+  kWorkspaceRateLimit = 8,
+  kWorkspaceInFlightLimit = 9,
   // State of the system.
   kNoTarget = 10,
   kOverloaded = 11,
--- a/source/core/contracts/config_codec.cc
+++ b/source/core/contracts/config_codec.cc
@@ -26,7 +26,7 @@
 
 proto::ConfigChange ToProto(const ConfigChange& change) {
   proto::ConfigChange message;
-  message.set_customer(change.customer.value());
+  message.set_workspace(change.workspace.value());
   message.set_revision(change.revision.value());
   message.set_change_id(change.change_id.value());
   message.set_is_withdrawn(change.is_withdrawn);
@@ -36,7 +36,7 @@
 
 ConfigChange FromProto(const proto::ConfigChange& message) {
   return ConfigChange{
-      CustomerName(message.customer()), Revision(message.revision()),
+      WorkspaceName(message.workspace()), Revision(message.revision()),
       ChangeId(message.change_id()), message.is_withdrawn(), message.yaml()};
 }
 
@@ -108,8 +108,8 @@
 
 }  // namespace
 
-std::string ContractRowKey(const CustomerName& customer) {
-  return kContractRowPrefix + customer.value();
+std::string ContractRowKey(const WorkspaceName& workspace) {
+  return kContractRowPrefix + workspace.value();
 }
 
 std::string EncodeChange(const ConfigChange& change) {
@@ -121,7 +121,7 @@
   message.set_revision(record.revision.value());
   for (const LoggedChange& change : record.recent) {
     proto::LoggedChange* const logged = message.add_recent();
-    logged->set_customer(change.customer.value());
+    logged->set_workspace(change.workspace.value());
     logged->set_revision(change.revision.value());
     logged->set_change_id(change.change_id.value());
   }
@@ -150,7 +150,7 @@
     return std::nullopt;
   RevisionRecord record{Revision(message->revision()), {}};
   for (const proto::LoggedChange& logged : message->recent()) {
-    record.recent.push_back(LoggedChange{CustomerName(logged.customer()),
+    record.recent.push_back(LoggedChange{WorkspaceName(logged.workspace()),
                                          Revision(logged.revision()),
                                          ChangeId(logged.change_id())});
   }
--- a/source/core/contracts/config_codec.h
+++ b/source/core/contracts/config_codec.h
@@ -15,10 +15,10 @@
 
 namespace bulrushmount {
 
-// Row keys: `config/revision`, and `contract/` with the customer's name.
+// Row keys: `config/revision`, and `contract/` with the workspace's name.
 inline constexpr char kRevisionRowKey[] = "config/revision";
 inline constexpr char kContractRowPrefix[] = "contract/";
-std::string ContractRowKey(const CustomerName& customer);
+std::string ContractRowKey(const WorkspaceName& workspace);
 
 std::string EncodeChange(const ConfigChange& change);
 std::string EncodeRevisionRecord(const RevisionRecord& record);
--- a/source/core/contracts/config_table_reader.cc
+++ b/source/core/contracts/config_table_reader.cc
@@ -55,28 +55,28 @@
   if (m_record.revision == m_since)
     return Finish(now, {true, std::nullopt});
 
-  std::optional<std::vector<CustomerName>> missing = MissingRows();
+  std::optional<std::vector<WorkspaceName>> missing = MissingRows();
   if (!missing.has_value() || missing->size() > kMaxSingleReads)
     return ScanRows();
   m_to_read = std::move(*missing);
   ReadNextRow(now);
 }
 
-std::optional<std::vector<CustomerName>> ConfigTableReader::MissingRows()
+std::optional<std::vector<WorkspaceName>> ConfigTableReader::MissingRows()
     const {
   if (m_record.recent.empty() ||
       m_record.recent.front().revision.value() > m_complete_to.value() + 1)
     return std::nullopt;
-  std::vector<CustomerName> missing;
+  std::vector<WorkspaceName> missing;
   for (const LoggedChange& change : m_record.recent) {
     if (change.revision.value() <= m_complete_to.value())
       continue;
-    const auto row = m_rows.find(change.customer);
+    const auto row = m_rows.find(change.workspace);
     const bool is_there = row != m_rows.end() && row->second.revision.value() >=
                                                      change.revision.value();
     if (!is_there && std::find(missing.begin(), missing.end(),
-                               change.customer) == missing.end())
-      missing.push_back(change.customer);
+                               change.workspace) == missing.end())
+      missing.push_back(change.workspace);
   }
   return missing;
 }
@@ -105,7 +105,7 @@
     std::optional<ConfigChange> change = DecodeChange(row.value);
     if (!change.has_value())
       return Finish(now, {});
-    m_rows[change->customer] = std::move(*change);
+    m_rows[change->workspace] = std::move(*change);
   }
   ReadNextRow(now);
 }
@@ -125,7 +125,7 @@
 
 ConfigBatch ConfigTableReader::MakeBatch() const {
   ConfigBatch batch{m_since, m_complete_to, {}};
-  for (const auto& [customer, change] : m_rows) {
+  for (const auto& [workspace, change] : m_rows) {
     if (change.revision.value() > m_since.value())
       batch.changes.push_back(change);
   }
--- a/source/core/contracts/config_table_reader.h
+++ b/source/core/contracts/config_table_reader.h
@@ -41,7 +41,7 @@
   void OnRevisionRow(TimePoint now, const TableReply& reply);
   // What the log says has changed and is not in m_rows yet; empty if the log
   // does not reach back far enough.
-  std::optional<std::vector<CustomerName>> MissingRows() const;
+  std::optional<std::vector<WorkspaceName>> MissingRows() const;
   void ScanRows();
   void ReadNextRow(TimePoint now);
   void OnRows(TimePoint now, const TableReply& reply);
@@ -55,10 +55,10 @@
   // m_rows holds every contract whose last change lies in (m_since,
   // m_complete_to], and perhaps newer ones.
   Revision m_complete_to;
-  std::unordered_map<CustomerName, ConfigChange> m_rows;
+  std::unordered_map<WorkspaceName, ConfigChange> m_rows;
   // As read at the start of the round; all rows of the round are read later.
   RevisionRecord m_record;
-  std::vector<CustomerName> m_to_read;
+  std::vector<WorkspaceName> m_to_read;
   std::uint32_t m_rounds = 0;
 };
 
--- a/source/core/contracts/config_types.h
+++ b/source/core/contracts/config_types.h
@@ -18,7 +18,7 @@
 
 // One accepted change of one contract. Exactly one change has a revision.
 struct ConfigChange {
-  CustomerName customer;
+  WorkspaceName workspace;
   Revision revision;
   ChangeId change_id;
   // A tombstone, kept for ever: it stops an older version from returning.
@@ -36,14 +36,14 @@
 struct ConfigBatch {
   Revision since;
   Revision to;
-  // In rising order of revision, one a customer, all in (since, to].
+  // In rising order of revision, one a workspace, all in (since, to].
   std::vector<ConfigChange> changes;
 
   friend bool operator==(const ConfigBatch&, const ConfigBatch&) = default;
 };
 
 struct LoggedChange {
-  CustomerName customer;
+  WorkspaceName workspace;
   Revision revision;
   ChangeId change_id;
 
@@ -63,8 +63,8 @@
 
 inline constexpr std::size_t kMaxLoggedChanges = 64;
 
-// Stands in place of a customer for the operator's routing document. No
-// customer's name holds a '/'.
+// Stands in place of a workspace for the operator's routing document. No
+// workspace's name holds a '/'.
 inline constexpr char kRouteDocument[] = "operator/document";
 
 }  // namespace bulrushmount
--- a/source/core/contracts/contract.h
+++ b/source/core/contracts/contract.h
@@ -1,5 +1,5 @@
-// The contract model: what an operator promises one customer, and what every
-// limit on that customer's traffic follows from. The measuring budget is a
+// The contract model: what an operator promises one workspace, and what every
+// limit on that workspace's traffic follows from. The measuring budget is a
 // contract too.
 
 #ifndef BULRUSHMOUNT_CORE_CONTRACTS_CONTRACT_H_
@@ -15,8 +15,8 @@
 
 namespace bulrushmount {
 
-// The customer whose contract is the measuring budget.
-inline constexpr char kMeasurementCustomer[] = "measurement";
+// The workspace whose contract is the measuring budget.
+inline constexpr char kMeasurementWorkspace[] = "measurement";
 
 // "99 % within 50 ms".
 struct LatencyObjective {
@@ -41,7 +41,7 @@
   bool is_repeatable = false;
   // Only of meaning when the kind is not repeatable.
   KeyPolicy key_policy = KeyPolicy::kRequired;
-  // Units that one request takes from the customer's limits.
+  // Units that one request takes from the workspace's limits.
   double weight = 1.0;
   // Bounds the time from arrival to the first byte of the answer.
   Duration deadline{};
@@ -58,26 +58,27 @@
 };
 
 // Over all entries together.
-struct CustomerLimits {
+struct WorkspaceLimits {
   // Weighted units a second.
   double units_per_second = 0;
   // Weighted units that may come at once.
   double burst_units = 0;
   std::uint32_t in_flight = 0;
 
-  friend bool operator==(const CustomerLimits&,
-                         const CustomerLimits&) = default;
+  friend bool operator==(const WorkspaceLimits&,
+                         const WorkspaceLimits&) = default;
 };
 
-struct CustomerTerms {
+struct WorkspaceTerms {
   std::vector<ServiceTerms> services;
-  CustomerLimits limits;
-  // Weight against other customers when a target has a queue.
+  WorkspaceLimits limits;
+  // Weight against other workspaces when a target has a queue.
   double share = 1.0;
   // How long the outcome of a keyed request is kept.
   Duration key_retention{};
 
-  friend bool operator==(const CustomerTerms&, const CustomerTerms&) = default;
+  friend bool operator==(const WorkspaceTerms&,
+                         const WorkspaceTerms&) = default;
 };
 
 // The most that measuring a service may cost, over the whole fleet.
@@ -98,9 +99,9 @@
 };
 
 struct Contract {
-  CustomerName customer;
-  // MeasuringTerms exactly if `customer` is kMeasurementCustomer.
-  std::variant<CustomerTerms, MeasuringTerms> terms;
+  WorkspaceName workspace;
+  // MeasuringTerms exactly if `workspace` is kMeasurementWorkspace.
+  std::variant<WorkspaceTerms, MeasuringTerms> terms;
 
   friend bool operator==(const Contract&, const Contract&) = default;
 };
--- a/source/core/contracts/contract_change.cc
+++ b/source/core/contracts/contract_change.cc
@@ -78,7 +78,7 @@
 
 void ContractChange::ReadRows() {
   m_table.Submit(
-      TableGet{ContractRowKey(m_change.customer)},
+      TableGet{ContractRowKey(m_change.workspace)},
       [self = shared_from_this()](TimePoint now, const TableReply& reply) {
         self->OnContractRow(now, reply);
       });
@@ -168,11 +168,11 @@
   RevisionRecord record = m_rows.record;
   record.revision = m_change.revision;
   record.recent.push_back(
-      LoggedChange{m_change.customer, m_change.revision, m_change.change_id});
+      LoggedChange{m_change.workspace, m_change.revision, m_change.change_id});
   if (record.recent.size() > kMaxLoggedChanges)
     record.recent.erase(record.recent.begin());
 
-  const std::string key = ContractRowKey(m_change.customer);
+  const std::string key = ContractRowKey(m_change.workspace);
   m_transaction.conditions = {{key, m_rows.contract_version},
                               {kRevisionRowKey, m_rows.record_version}};
   m_transaction.puts = {{key, EncodeChange(m_change)},
@@ -191,7 +191,7 @@
   switch (reply.status) {
     case TableStatus::kOk:
       return FinishCommitted(
-          now, VersionOf(reply.rows, ContractRowKey(m_change.customer)));
+          now, VersionOf(reply.rows, ContractRowKey(m_change.workspace)));
     case TableStatus::kConditionFailed:
       // Another change came first, or an earlier submission of this one did:
       // the log tells which.
@@ -229,7 +229,7 @@
                             RowVersion version) {
   m_is_done = true;
   LogLine(LogLevel::kInfo, "contract.change")
-      .Add("customer", m_change.customer)
+      .Add("workspace", m_change.workspace)
       .Add("change_id", m_change.change_id)
       .Add("revision", m_change.revision)
       .Add("status", ToToken(status));
--- a/source/core/contracts/contract_store.cc
+++ b/source/core/contracts/contract_store.cc
@@ -33,13 +33,13 @@
   if (batch.since.value() > m_revision.value())
     return ApplyResult::kGap;
 
-  std::vector<CustomerName> changed;
+  std::vector<WorkspaceName> changed;
   for (const ConfigChange& change : batch.changes) {
     // What the batch repeats is in force already.
     if (change.revision.value() <= m_revision.value())
       continue;
-    m_entries[change.customer] = MakeEntry(change);
-    changed.push_back(change.customer);
+    m_entries[change.workspace] = MakeEntry(change);
+    changed.push_back(change.workspace);
   }
   m_revision = batch.to;
   m_is_known = true;
@@ -47,31 +47,31 @@
   return ApplyResult::kApplied;
 }
 
-const Contract* ContractStore::Find(const CustomerName& customer) const {
-  const auto entry = m_entries.find(customer);
+const Contract* ContractStore::Find(const WorkspaceName& workspace) const {
+  const auto entry = m_entries.find(workspace);
   return entry == m_entries.end() ? nullptr : entry->second.contract.get();
 }
 
 const std::string* ContractStore::RouteDocumentText() const {
-  const auto entry = m_entries.find(CustomerName(kRouteDocument));
+  const auto entry = m_entries.find(WorkspaceName(kRouteDocument));
   return entry == m_entries.end() ? nullptr : &entry->second.change.yaml;
 }
 
-KindMatchResult ContractStore::MatchKind(const CustomerName& customer,
+KindMatchResult ContractStore::MatchKind(const WorkspaceName& workspace,
                                          const ServiceName& service,
                                          std::string_view method,
                                          std::string_view target) const {
   if (!m_is_known)
     return Reason::kConfigurationUnknown;
-  const auto found = m_entries.find(customer);
+  const auto found = m_entries.find(workspace);
   if (found == m_entries.end() || found->second.change.is_withdrawn)
-    return Reason::kUnknownCustomer;
+    return Reason::kUnknownWorkspace;
   const Entry& entry = found->second;
   if (entry.contract == nullptr)
     return Reason::kConfigurationUnknown;
-  const auto* const terms = std::get_if<CustomerTerms>(&entry.contract->terms);
+  const auto* const terms = std::get_if<WorkspaceTerms>(&entry.contract->terms);
   if (terms == nullptr)
-    return Reason::kUnknownCustomer;
+    return Reason::kUnknownWorkspace;
   const auto service_terms = entry.services.find(service);
   if (service_terms == entry.services.end())
     return Reason::kUnknownService;
@@ -86,7 +86,7 @@
 
 ConfigBatch ContractStore::ChangesSince(Revision since) const {
   ConfigBatch batch{since, m_revision, {}};
-  for (const auto& [customer, entry] : m_entries) {
+  for (const auto& [workspace, entry] : m_entries) {
     if (entry.change.revision.value() > since.value())
       batch.changes.push_back(entry.change);
   }
@@ -99,28 +99,28 @@
 
 std::vector<const Contract*> ContractStore::Contracts() const {
   std::vector<const Contract*> contracts;
-  for (const auto& [customer, entry] : m_entries) {
+  for (const auto& [workspace, entry] : m_entries) {
     if (entry.contract != nullptr)
       contracts.push_back(entry.contract.get());
   }
   std::sort(contracts.begin(), contracts.end(),
             [](const Contract* left, const Contract* right) {
-              return left->customer.value() < right->customer.value();
+              return left->workspace.value() < right->workspace.value();
             });
   return contracts;
 }
 
 ContractStore::Entry ContractStore::MakeEntry(const ConfigChange& change) {
   Entry entry{change, nullptr, {}};
-  if (change.is_withdrawn || change.customer.value() == kRouteDocument)
+  if (change.is_withdrawn || change.workspace.value() == kRouteDocument)
     return entry;
   ContractOrFaults parsed = TryParseContract(change.yaml);
   if (!parsed.contract.has_value() ||
-      parsed.contract->customer != change.customer) {
+      parsed.contract->workspace != change.workspace) {
     // Written through a node of a newer release. Its requests are refused
     // rather than run under terms that nobody agreed to.
     LogLine(LogLevel::kError, "contract.unreadable")
-        .Add("customer", change.customer)
+        .Add("workspace", change.workspace)
         .Add("revision", change.revision)
         .Add("faults", ToString(parsed.faults));
     return entry;
@@ -128,7 +128,7 @@
   entry.contract =
       std::make_unique<const Contract>(std::move(*parsed.contract));
   if (const auto* const terms =
-          std::get_if<CustomerTerms>(&entry.contract->terms)) {
+          std::get_if<WorkspaceTerms>(&entry.contract->terms)) {
     for (const ServiceTerms& service : terms->services)
       entry.services.emplace(service.name, &service);
   }
@@ -136,10 +136,10 @@
 }
 
 void ContractStore::Notify(TimePoint now,
-                           const std::vector<CustomerName>& customers) {
-  for (const CustomerName& customer : customers) {
+                           const std::vector<WorkspaceName>& workspaces) {
+  for (const WorkspaceName& workspace : workspaces) {
     for (ContractListener* const listener : m_listeners)
-      listener->OnContractChanged(now, customer, Find(customer));
+      listener->OnContractChanged(now, workspace, Find(workspace));
   }
 }
 
--- a/source/core/contracts/contract_store.h
+++ b/source/core/contracts/contract_store.h
@@ -27,18 +27,18 @@
   // Called when the whole batch is in force. `contract` is null when it is
   // withdrawn, or when this release cannot read it.
   virtual void OnContractChanged(TimePoint now,
-                                 const CustomerName& customer,
+                                 const WorkspaceName& workspace,
                                  const Contract* contract) = 0;
 };
 
-// What a request is under its customer's contract. The pointers hold until the
+// What a request is under its workspace's contract. The pointers hold until the
 // next Apply; a call that lives longer copies what it needs.
 struct MatchedKind {
-  const CustomerTerms* terms = nullptr;
+  const WorkspaceTerms* terms = nullptr;
   const KindTerms* kind = nullptr;
 };
 
-// Reasons: kUnknownCustomer, kUnknownService, kUnknownKind, and
+// Reasons: kUnknownWorkspace, kUnknownService, kUnknownKind, and
 // kConfigurationUnknown when no configuration is known yet or this release
 // cannot read the contract.
 using KindMatchResult = std::variant<MatchedKind, Reason>;
@@ -71,11 +71,11 @@
   Revision revision() const { return m_revision; }
 
   // Null if there is none, if it is withdrawn or cannot be read.
-  const Contract* Find(const CustomerName& customer) const;
+  const Contract* Find(const WorkspaceName& workspace) const;
 
   // For each request: two hash look-ups and a walk of the service's kinds.
   // `target` is the path, and whatever follows in the request line's target.
-  KindMatchResult MatchKind(const CustomerName& customer,
+  KindMatchResult MatchKind(const WorkspaceName& workspace,
                             const ServiceName& service,
                             std::string_view method,
                             std::string_view target) const;
@@ -87,7 +87,7 @@
   // included.
   ConfigBatch ChangesSince(Revision since) const;
 
-  // All contracts that can be read, in order of customer.
+  // All contracts that can be read, in order of workspace.
   std::vector<const Contract*> Contracts() const;
 
  private:
@@ -100,10 +100,10 @@
   };
 
   static Entry MakeEntry(const ConfigChange& change);
-  void Notify(TimePoint now, const std::vector<CustomerName>& customers);
+  void Notify(TimePoint now, const std::vector<WorkspaceName>& workspaces);
 
   // Every entry's revision is at most m_revision, and no two are the same.
-  std::unordered_map<CustomerName, Entry> m_entries;
+  std::unordered_map<WorkspaceName, Entry> m_entries;
   // Never falls.
   Revision m_revision;
   // True whenever m_revision is above 0.
--- a/source/core/contracts/contract_writer.cc
+++ b/source/core/contracts/contract_writer.cc
@@ -19,11 +19,11 @@
 YamlFaults FaultsOf(const OperatorRequested& request) {
   ContractOrFaults parsed = TryParseContract(request.body);
   if (parsed.contract.has_value() &&
-      parsed.contract->customer != request.customer) {
+      parsed.contract->workspace != request.workspace) {
     parsed.faults.Add(
-        {}, fmt::format("the contract is of customer '{}', but the request "
+        {}, fmt::format("the contract is of workspace '{}', but the request "
                         "names '{}'",
-                        parsed.contract->customer, request.customer));
+                        parsed.contract->workspace, request.workspace));
   }
   return std::move(parsed.faults);
 }
@@ -78,7 +78,7 @@
   if (!faults.empty())
     return answer(now, AnswerToFaults(request.request, faults));
   StartChange(now,
-              ConfigChange{request.customer, Revision(), ChangeId(), false,
+              ConfigChange{request.workspace, Revision(), ChangeId(), false,
                            request.body},
               request, std::move(answer));
 }
@@ -87,13 +87,13 @@
                               const OperatorRequested& request,
                               AnswerCallback answer) {
   StartChange(now,
-              ConfigChange{request.customer, Revision(), ChangeId(), true, ""},
+              ConfigChange{request.workspace, Revision(), ChangeId(), true, ""},
               request, std::move(answer));
 }
 
 void ContractWriter::Show(const OperatorRequested& request,
                           AnswerCallback answer) {
-  m_table.Submit(TableGet{ContractRowKey(request.customer)},
+  m_table.Submit(TableGet{ContractRowKey(request.workspace)},
                  [id = request.request, answer = std::move(answer)](
                      TimePoint now, const TableReply& reply) {
                    answer(now, AnswerToShow(id, reply));
--- a/source/core/contracts/contract_yaml.cc
+++ b/source/core/contracts/contract_yaml.cc
@@ -159,8 +159,8 @@
   return services;
 }
 
-CustomerLimits ReadLimits(const YamlNode* node, YamlFaults& faults) {
-  CustomerLimits limits;
+WorkspaceLimits ReadLimits(const YamlNode* node, YamlFaults& faults) {
+  WorkspaceLimits limits;
   if (node == nullptr)
     return limits;
   YamlMapReader map(*node, faults);
@@ -177,7 +177,7 @@
 }
 
 // Reports a kind that could never run: it weighs more than the whole burst.
-void CheckWeights(const CustomerTerms& terms,
+void CheckWeights(const WorkspaceTerms& terms,
                   YamlPosition position,
                   YamlFaults& faults) {
   if (terms.limits.burst_units <= 0)
@@ -192,8 +192,8 @@
   }
 }
 
-CustomerTerms ReadCustomerTerms(YamlMapReader& map, YamlFaults& faults) {
-  CustomerTerms terms;
+WorkspaceTerms ReadWorkspaceTerms(YamlMapReader& map, YamlFaults& faults) {
+  WorkspaceTerms terms;
   terms.services = ReadServices(map.Required("services"), faults);
   const YamlNode* const limits = map.Required("limits");
   terms.limits = ReadLimits(limits, faults);
@@ -239,12 +239,12 @@
 Contract ReadContract(const YamlNode& root, YamlFaults& faults) {
   Contract contract;
   YamlMapReader map(root, faults);
-  contract.customer =
-      CustomerName(ReadName(map.Required("customer"), faults).value_or(""));
-  if (contract.customer.value() == kMeasurementCustomer)
+  contract.workspace =
+      WorkspaceName(ReadName(map.Required("workspace"), faults).value_or(""));
+  if (contract.workspace.value() == kMeasurementWorkspace)
     contract.terms = ReadMeasuringTerms(map, faults);
   else
-    contract.terms = ReadCustomerTerms(map, faults);
+    contract.terms = ReadWorkspaceTerms(map, faults);
   map.Finish();
   return contract;
 }
@@ -285,7 +285,7 @@
   out << YAML::EndSeq << YAML::EndMap;
 }
 
-void EmitTerms(YAML::Emitter& out, const CustomerTerms& terms) {
+void EmitTerms(YAML::Emitter& out, const WorkspaceTerms& terms) {
   out << YAML::Key << "services" << YAML::Value << YAML::BeginSeq;
   for (const ServiceTerms& service : terms.services)
     EmitService(out, service);
@@ -339,7 +339,7 @@
 std::string ToYaml(const Contract& contract) {
   YAML::Emitter out;
   out << YAML::BeginMap;
-  out << YAML::Key << "customer" << YAML::Value << contract.customer.value();
+  out << YAML::Key << "workspace" << YAML::Value << contract.workspace.value();
   std::visit([&out](const auto& terms) { EmitTerms(out, terms); },
              contract.terms);
   out << YAML::EndMap;
--- a/source/core/contracts/operator_answers.cc
+++ b/source/core/contracts/operator_answers.cc
@@ -42,7 +42,7 @@
 
 AnswerOperator AnswerToCommit(OperatorRequestId request,
                               const ChangeOutcome& outcome) {
-  json::object body{{"customer", outcome.change.customer.value()},
+  json::object body{{"workspace", outcome.change.workspace.value()},
                     {"revision", outcome.change.revision.value()},
                     {"withdrawn", outcome.change.is_withdrawn}};
   if (outcome.version == kNoRow)
@@ -115,7 +115,7 @@
     const std::optional<ConfigChange> change = DecodeChange(row.value);
     if (!change.has_value() || change->is_withdrawn)
       continue;
-    list.push_back(json::object{{"customer", change->customer.value()},
+    list.push_back(json::object{{"workspace", change->workspace.value()},
                                 {"version", row.version.value()},
                                 {"revision", change->revision.value()}});
   }
--- a/source/core/contracts/operator_document_reader.cc
+++ b/source/core/contracts/operator_document_reader.cc
@@ -61,7 +61,7 @@
   if (revision <= since)
     return {.is_ok = true, .batch = std::nullopt};
   ConfigChange change;
-  change.customer = CustomerName(kRouteDocument);
+  change.workspace = WorkspaceName(kRouteDocument);
   change.revision = revision;
   change.yaml = row.value;
   // Since 0: the document leads on from any configuration.
--- a/source/core/contracts/operator_document_reader.h
+++ b/source/core/contracts/operator_document_reader.h
@@ -21,7 +21,7 @@
 inline constexpr Duration kWatchTime = std::chrono::seconds(25);
 
 // A document is one change that replaces all: `ConfigChange::yaml` holds its
-// text as the operator wrote it, under the customer kRouteDocument.
+// text as the operator wrote it, under the workspace kRouteDocument.
 class OperatorDocumentReader : public ConfigReader {
  public:
   // Both must outlive the object, and the object its requests.
--- a/source/core/limits/allotment.h
+++ b/source/core/limits/allotment.h
@@ -1,4 +1,4 @@
-// The messages between an entry and a customer's limiter home, as typed
+// The messages between an entry and a workspace's limiter home, as typed
 // values. All amounts are cumulative or absolute, so a lost, repeated or
 // reordered datagram neither makes nor destroys units.
 
@@ -19,7 +19,7 @@
 using RequestNumber = StrongType<struct RequestNumberTag, std::uint64_t>;
 
 struct AllotmentRequest {
-  CustomerKey customer;
+  WorkspaceKey workspace;
   LendingSession session;
   RequestNumber number;
   // Admitted from granted units on this session since it began, and from the
@@ -54,7 +54,7 @@
 };
 
 struct Allotment {
-  CustomerKey customer;
+  WorkspaceKey workspace;
   LendingSession session;
   // Of the request that this answers.
   RequestNumber number;
--- a/source/core/limits/entry_account.cc
+++ b/source/core/limits/entry_account.cc
@@ -18,15 +18,15 @@
 constexpr double kTellingCalls = 4;
 constexpr double kDemandMemorySeconds = 2;
 
-double AllowedRate(const CustomerLimits& limits, std::size_t members) {
+double AllowedRate(const WorkspaceLimits& limits, std::size_t members) {
   return limits.units_per_second / static_cast<double>(members);
 }
 
 }  // namespace
 
 EntryAccount::EntryAccount(const LimitsSettings& settings,
-                           CustomerKey key,
-                           const CustomerLimits& limits,
+                           WorkspaceKey key,
+                           const WorkspaceLimits& limits,
                            std::size_t members,
                            TimePoint now)
     : m_settings(settings),
@@ -51,11 +51,11 @@
   if (m_in_flight >= InFlightShare(now)) {
     m_was_refused = true;
     ++m_peak_in_flight;
-    return Reason::kCustomerInFlightLimit;
+    return Reason::kWorkspaceInFlightLimit;
   }
   if (!TakeUnits(now, units)) {
     m_was_refused = true;
-    return Reason::kCustomerRateLimit;
+    return Reason::kWorkspaceRateLimit;
   }
   ++m_in_flight;
   return Reason::kNone;
@@ -67,7 +67,7 @@
 }
 
 void EntryAccount::Reshape(TimePoint now,
-                           const CustomerLimits& limits,
+                           const WorkspaceLimits& limits,
                            std::size_t members) {
   m_allowed_in_flight = AllowedInFlight(m_settings, limits, members);
   m_allowance.Reshape(now, AllowedRate(limits, members),
@@ -146,7 +146,7 @@
   m_target = std::min(m_target, capacity);
 
   AllotmentRequest request;
-  request.customer = m_key;
+  request.workspace = m_key;
   request.session = m_session;
   request.number = number;
   request.used_units = m_used;
@@ -177,7 +177,7 @@
 AllotmentRequest EntryAccount::MakeRelease(TimePoint now,
                                            RequestNumber number) {
   AllotmentRequest request;
-  request.customer = m_key;
+  request.workspace = m_key;
   request.session = m_session;
   request.number = number;
   request.used_units = m_used;
--- a/source/core/limits/entry_account.h
+++ b/source/core/limits/entry_account.h
@@ -1,5 +1,5 @@
-// One customer's limits as one entry goes by them: units and an in-flight share
-// lent by the customer's limiter home, and a small allowance without it.
+// One workspace's limits as one entry goes by them: units and an in-flight
+// share lent by the workspace's limiter home, and a small allowance without it.
 
 #ifndef BULRUSHMOUNT_CORE_LIMITS_ENTRY_ACCOUNT_H_
 #define BULRUSHMOUNT_CORE_LIMITS_ENTRY_ACCOUNT_H_
@@ -20,12 +20,12 @@
  public:
   // `settings` must outlive the object.
   EntryAccount(const LimitsSettings& settings,
-               CustomerKey key,
-               const CustomerLimits& limits,
+               WorkspaceKey key,
+               const WorkspaceLimits& limits,
                std::size_t members,
                TimePoint now);
 
-  CustomerKey key() const { return m_key; }
+  WorkspaceKey key() const { return m_key; }
   const Peer& home() const { return m_home; }
   std::uint32_t in_flight() const { return m_in_flight; }
 
@@ -33,7 +33,7 @@
   void OnCallEnded();
 
   void Reshape(TimePoint now,
-               const CustomerLimits& limits,
+               const WorkspaceLimits& limits,
                std::size_t members);
   // What is left of another home's loan stays good for its term, or until the
   // new home has answered.
@@ -43,7 +43,7 @@
   bool IsActive(TimePoint now) const;
   // A call was refused for want of credit, or soon will be.
   bool IsStarved() const;
-  // Whether to ask the home now. `interval` is for a customer with credit,
+  // Whether to ask the home now. `interval` is for a workspace with credit,
   // `starved_interval` for one without.
   bool IsDue(TimePoint now, Duration interval, Duration starved_interval) const;
 
@@ -86,8 +86,8 @@
   void UpdateDemand(TimePoint now);
 
   const LimitsSettings& m_settings;
-  CustomerKey m_key;
-  CustomerLimits m_limits;
+  WorkspaceKey m_key;
+  WorkspaceLimits m_limits;
   std::uint32_t m_allowed_in_flight = 0;
   // What this entry may admit while it has no loan; full again once the home
   // has booked what was taken.
--- a/source/core/limits/limiter_home.cc
+++ b/source/core/limits/limiter_home.cc
@@ -46,10 +46,10 @@
     : m_settings(settings), m_home_since(now) {}
 
 void LimiterHome::SetLimits(TimePoint now,
-                            CustomerKey customer,
-                            CustomerLimits limits) {
-  m_limits[customer] = limits;
-  const auto found = m_accounts.find(customer);
+                            WorkspaceKey workspace,
+                            WorkspaceLimits limits) {
+  m_limits[workspace] = limits;
+  const auto found = m_accounts.find(workspace);
   if (found == m_accounts.end())
     return;
   detail::LimitAccount& account = found->second;
@@ -58,14 +58,14 @@
   account.level = std::min(account.level, limits.burst_units);
 }
 
-void LimiterHome::RemoveCustomer(CustomerKey customer) {
-  m_limits.erase(customer);
-  m_accounts.erase(customer);
+void LimiterHome::RemoveWorkspace(WorkspaceKey workspace) {
+  m_limits.erase(workspace);
+  m_accounts.erase(workspace);
 }
 
-std::optional<CustomerLimits> LimiterHome::LimitsOf(
-    CustomerKey customer) const {
-  const auto found = m_limits.find(customer);
+std::optional<WorkspaceLimits> LimiterHome::LimitsOf(
+    WorkspaceKey workspace) const {
+  const auto found = m_limits.find(workspace);
   if (found == m_limits.end())
     return std::nullopt;
   return found->second;
@@ -75,7 +75,7 @@
     TimePoint now,
     std::size_t members,
     bool has_departure,
-    const std::function<bool(CustomerKey)>& is_home) {
+    const std::function<bool(WorkspaceKey)>& is_home) {
   m_members = std::max<std::size_t>(members, 1);
   if (has_departure)
     m_home_since = now;
@@ -87,11 +87,11 @@
     TimePoint now,
     NodeId entry,
     const AllotmentRequest& request) {
-  const auto limits = m_limits.find(request.customer);
+  const auto limits = m_limits.find(request.workspace);
   if (limits == m_limits.end())
     return std::nullopt;
   detail::LimitAccount& account =
-      AccountOf(now, request.customer, limits->second);
+      AccountOf(now, request.workspace, limits->second);
   Refill(now, account);
   Sweep(now, account);
 
@@ -125,7 +125,7 @@
   AddToSums(account, loan);
 
   Allotment allotment;
-  allotment.customer = request.customer;
+  allotment.workspace = request.workspace;
   allotment.session = request.session;
   allotment.number = request.number;
   allotment.granted_units = loan.granted_units;
@@ -148,13 +148,13 @@
   }
 }
 
-// A home that is new to a customer starts with nothing to lend and earns at
-// the customer's rate. What goes wrong else: the old home's loans are still in
+// A home that is new to a workspace starts with nothing to lend and earns at
+// the workspace's rate. What goes wrong else: the old home's loans are still in
 // use, and a second full burst goes out beside them.
 detail::LimitAccount& LimiterHome::AccountOf(TimePoint now,
-                                             CustomerKey customer,
-                                             const CustomerLimits& limits) {
-  const auto [found, is_new] = m_accounts.try_emplace(customer);
+                                             WorkspaceKey workspace,
+                                             const WorkspaceLimits& limits) {
+  const auto [found, is_new] = m_accounts.try_emplace(workspace);
   detail::LimitAccount& account = found->second;
   if (is_new) {
     account.limits = limits;
@@ -168,7 +168,7 @@
 }
 
 double LimiterHome::FirstLevel(TimePoint now,
-                               const CustomerLimits& limits) const {
+                               const WorkspaceLimits& limits) const {
   const Duration since = now - m_home_since;
   const Duration in_grace = std::min(since, m_settings.grace);
   const double unlent_part = 1.0 - LendablePart(m_settings, m_members);
@@ -232,7 +232,7 @@
 }
 
 void LimiterHome::Refill(TimePoint now, detail::LimitAccount& account) const {
-  const CustomerLimits& limits = account.limits;
+  const WorkspaceLimits& limits = account.limits;
   const double capacity = LendingCapacity(m_settings, limits);
   const double ceiling =
       std::min(limits.burst_units, capacity - account.outstanding);
@@ -282,7 +282,7 @@
   loan.in_flight = request.in_flight;
   loan.in_flight_target = request.in_flight_target;
 
-  // After a partition the other side's admissions come in as debt. A customer
+  // After a partition the other side's admissions come in as debt. A workspace
   // must not be shut out for its whole length, so the debt has a floor.
   const double allowances =
       AllowedUnits(m_settings, account.limits, m_members) *
@@ -293,10 +293,10 @@
 }
 
 // What goes wrong else: an entry that has a loan goes by it alone, so a
-// customer far below its limit is refused when its demand rises within
+// workspace far below its limit is refused when its demand rises within
 // milliseconds, as the first loan is what its first call asked for. One would
-// see refusals with customer-rate-limit in the first seconds of a fleet or of a
-// limiter home. So what nobody has asked for goes out in advance. At the
+// see refusals with workspace-rate-limit in the first seconds of a fleet or of
+// a limiter home. So what nobody has asked for goes out in advance. At the
 // beginning any member may be about to ask, and each gets an equal part; later
 // the entries are known.
 double LimiterHome::UnitsInAdvance(TimePoint now,
@@ -307,7 +307,7 @@
                                  ? std::max(m_members, loans) - loans + 1
                                  : loans;
   const double equal_part = level / static_cast<double>(takers + 1);
-  // The customer may use one entry only, which then wants to burst there.
+  // The workspace may use one entry only, which then wants to burst there.
   const double spare = level - account.limits.burst_units / 2;
   return std::max(spare, equal_part);
 }
@@ -316,7 +316,7 @@
                             detail::LimitAccount& account,
                             detail::Loan& loan,
                             const AllotmentRequest& request) const {
-  const CustomerLimits& limits = account.limits;
+  const WorkspaceLimits& limits = account.limits;
   const double level = std::max(0.0, account.level);
   const double balance = loan.granted_units - loan.used_units;
   double amount = std::clamp(request.target_units - balance, 0.0, level);
@@ -358,7 +358,7 @@
   const double headroom = HeadroomFor(now, account, loan);
   double wanted = loan.demand * headroom;
   double total = (account.demand + loan.demand) * headroom;
-  // What goes wrong else: of a thousand entries that all see the customer, the
+  // What goes wrong else: of a thousand entries that all see the workspace, the
   // first to tell their demand get the whole rate, and it takes rounds of
   // requests to get it back for the others.
   if (IsBeginning(now, account))
--- a/source/core/limits/limiter_home.h
+++ b/source/core/limits/limiter_home.h
@@ -1,5 +1,5 @@
-// The home's side of the customer limits: it keeps the one account of a
-// customer and lends from it to the entries that see demand.
+// The home's side of the workspace limits: it keeps the one account of a
+// workspace and lends from it to the entries that see demand.
 
 #ifndef BULRUSHMOUNT_CORE_LIMITS_LIMITER_HOME_H_
 #define BULRUSHMOUNT_CORE_LIMITS_LIMITER_HOME_H_
@@ -18,7 +18,7 @@
 
 namespace detail {
 
-// What one entry has borrowed of one customer's limits.
+// What one entry has borrowed of one workspace's limits.
 struct Loan {
   LendingSession session;
   RequestNumber number;
@@ -40,10 +40,10 @@
   TimePoint counted_until;
 };
 
-// A customer's limits and what is lent of them. Units at the home and units
+// A workspace's limits and what is lent of them. Units at the home and units
 // lent and not yet used are together at most LendingCapacity().
 struct LimitAccount {
-  CustomerLimits limits;
+  WorkspaceLimits limits;
   // Negative after entries have used their own allowances.
   double level = 0;
   TimePoint refilled_at;
@@ -69,19 +69,19 @@
  public:
   LimiterHome(const LimitsSettings& settings, TimePoint now);
 
-  void SetLimits(TimePoint now, CustomerKey customer, CustomerLimits limits);
-  void RemoveCustomer(CustomerKey customer);
-  std::optional<CustomerLimits> LimitsOf(CustomerKey customer) const;
+  void SetLimits(TimePoint now, WorkspaceKey workspace, WorkspaceLimits limits);
+  void RemoveWorkspace(WorkspaceKey workspace);
+  std::optional<WorkspaceLimits> LimitsOf(WorkspaceKey workspace) const;
 
-  // `has_departure`: customers may have moved here, with loans of their old
+  // `has_departure`: workspaces may have moved here, with loans of their old
   // home still in use. `is_home` says which accounts stay.
   void OnMembersChanged(TimePoint now,
                         std::size_t members,
                         bool has_departure,
-                        const std::function<bool(CustomerKey)>& is_home);
+                        const std::function<bool(WorkspaceKey)>& is_home);
 
-  // The request of `entry` for a customer whose home this node is. Empty for
-  // an unknown customer, a release, and a request older than one seen.
+  // The request of `entry` for a workspace whose home this node is. Empty for
+  // an unknown workspace, a release, and a request older than one seen.
   std::optional<Allotment> OnRequest(TimePoint now,
                                      NodeId entry,
                                      const AllotmentRequest& request);
@@ -94,11 +94,11 @@
 
  private:
   detail::LimitAccount& AccountOf(TimePoint now,
-                                  CustomerKey customer,
-                                  const CustomerLimits& limits);
+                                  WorkspaceKey workspace,
+                                  const WorkspaceLimits& limits);
   void Refill(TimePoint now, detail::LimitAccount& account) const;
   void Sweep(TimePoint now, detail::LimitAccount& account) const;
-  double FirstLevel(TimePoint now, const CustomerLimits& limits) const;
+  double FirstLevel(TimePoint now, const WorkspaceLimits& limits) const;
   Duration IntervalFor(TimePoint now,
                        const detail::LimitAccount& account,
                        const detail::Loan& loan) const;
@@ -130,10 +130,10 @@
 
   LimitsSettings m_settings;
   std::size_t m_members = 1;
-  // The last time that customers may have moved here.
+  // The last time that workspaces may have moved here.
   TimePoint m_home_since;
-  std::unordered_map<CustomerKey, CustomerLimits> m_limits;
-  std::unordered_map<CustomerKey, detail::LimitAccount> m_accounts;
+  std::unordered_map<WorkspaceKey, WorkspaceLimits> m_limits;
+  std::unordered_map<WorkspaceKey, detail::LimitAccount> m_accounts;
 };
 
 }  // namespace bulrushmount
--- a/source/core/limits/limits_codec.cc
+++ b/source/core/limits/limits_codec.cc
@@ -24,7 +24,7 @@
 }
 
 void Encode(const AllotmentRequest& request, wire::AllotmentRequest& out) {
-  out.set_customer(request.customer.value());
+  out.set_workspace(request.workspace.value());
   out.set_session(request.session.value());
   out.set_number(request.number.value());
   out.set_used_units(request.used_units);
@@ -43,7 +43,7 @@
       std::chrono::floor<std::chrono::milliseconds>(allotment.term);
   const auto interval =
       std::chrono::floor<std::chrono::milliseconds>(allotment.interval);
-  out.set_customer(allotment.customer.value());
+  out.set_workspace(allotment.workspace.value());
   out.set_session(allotment.session.value());
   out.set_number(allotment.number.value());
   out.set_granted_units(allotment.granted_units);
@@ -59,7 +59,7 @@
       !IsAmount(in.demand()) || !IsAmount(in.rate_held()))
     return std::nullopt;
   AllotmentRequest request;
-  request.customer = CustomerKey(in.customer());
+  request.workspace = WorkspaceKey(in.workspace());
   request.session = LendingSession(in.session());
   request.number = RequestNumber(in.number());
   request.used_units = in.used_units();
@@ -78,7 +78,7 @@
   if (!IsAmount(in.granted_units()) || !IsAmount(in.rate()))
     return std::nullopt;
   Allotment allotment;
-  allotment.customer = CustomerKey(in.customer());
+  allotment.workspace = WorkspaceKey(in.workspace());
   allotment.session = LendingSession(in.session());
   allotment.number = RequestNumber(in.number());
   allotment.granted_units = in.granted_units();
--- a/source/core/limits/limits_codec.h
+++ b/source/core/limits/limits_codec.h
@@ -1,4 +1,4 @@
-// The datagrams of the customer limits: typed messages to bytes and back.
+// The datagrams of the workspace limits: typed messages to bytes and back.
 
 #ifndef BULRUSHMOUNT_CORE_LIMITS_LIMITS_CODEC_H_
 #define BULRUSHMOUNT_CORE_LIMITS_LIMITS_CODEC_H_
--- a/source/core/limits/rendezvous.cc
+++ b/source/core/limits/rendezvous.cc
@@ -19,9 +19,9 @@
 
 }  // namespace
 
-CustomerKey KeyOf(const CustomerName& customer) {
-  const std::string& name = customer.value();
-  return CustomerKey(XXH3_64bits(name.data(), name.size()));
+WorkspaceKey KeyOf(const WorkspaceName& workspace) {
+  const std::string& name = workspace.value();
+  return WorkspaceKey(XXH3_64bits(name.data(), name.size()));
 }
 
 const Peer* RendezvousHome(const std::vector<Peer>& members,
--- a/source/core/limits/rendezvous.h
+++ b/source/core/limits/rendezvous.h
@@ -22,10 +22,10 @@
   friend bool operator==(const Peer&, const Peer&) = default;
 };
 
-// xxHash of the customer's name; stands for it in datagrams.
-using CustomerKey = StrongType<struct CustomerKeyTag, std::uint64_t>;
+// xxHash of the workspace's name; stands for it in datagrams.
+using WorkspaceKey = StrongType<struct WorkspaceKeyTag, std::uint64_t>;
 
-CustomerKey KeyOf(const CustomerName& customer);
+WorkspaceKey KeyOf(const WorkspaceName& workspace);
 
 // The home of `key`; null only if there are no members. Linear in `members`,
 // so callers keep the answer until the members change.
--- a/source/core/limits/customer_limiter.cc
+++ b/source/core/limits/workspace_limiter.cc
@@ -1,6 +1,6 @@
-// Part of `customer_limiter.h`.
+// Part of `workspace_limiter.h`.
 
-#include "core/limits/customer_limiter.h"
+#include "core/limits/workspace_limiter.h"
 
 #include <algorithm>
 #include <map>
@@ -11,7 +11,7 @@
 
 namespace {
 
-// While no customer is active, only accounts lent to others need a look.
+// While no workspace is active, only accounts lent to others need a look.
 constexpr Duration kIdlePeriod = std::chrono::seconds(5);
 
 bool Contains(const std::vector<Peer>& members, NodeId id) {
@@ -21,22 +21,22 @@
 
 }  // namespace
 
-CustomerLimiter::CustomerLimiter(const LimitsSettings& settings,
-                                 const Peer& self,
-                                 DatagramPort& datagrams,
-                                 TimePoint now)
+WorkspaceLimiter::WorkspaceLimiter(const LimitsSettings& settings,
+                                   const Peer& self,
+                                   DatagramPort& datagrams,
+                                   TimePoint now)
     : m_settings(settings),
       m_self(self),
       m_datagrams(datagrams),
       m_home(settings, now),
       m_members({self}) {}
 
-Reason CustomerLimiter::TryAdmit(TimePoint now,
-                                 const CustomerName& customer,
-                                 double units) {
-  const auto found = m_entries.find(customer);
+Reason WorkspaceLimiter::TryAdmit(TimePoint now,
+                                  const WorkspaceName& workspace,
+                                  double units) {
+  const auto found = m_entries.find(workspace);
   if (found == m_entries.end() || found->second->is_removed)
-    return Reason::kUnknownCustomer;
+    return Reason::kUnknownWorkspace;
   Entry& entry = *found->second;
   const Reason reason = entry.account.TryAdmit(now, units);
   if (!entry.is_active)
@@ -44,8 +44,9 @@
   return reason;
 }
 
-void CustomerLimiter::OnCallEnded(TimePoint now, const CustomerName& customer) {
-  const auto found = m_entries.find(customer);
+void WorkspaceLimiter::OnCallEnded(TimePoint now,
+                                   const WorkspaceName& workspace) {
+  const auto found = m_entries.find(workspace);
   if (found == m_entries.end())
     return;
   Entry& entry = *found->second;
@@ -57,12 +58,12 @@
   m_entries.erase(found);
 }
 
-void CustomerLimiter::SetLimits(TimePoint now,
-                                const CustomerName& customer,
-                                const CustomerLimits& limits) {
-  const CustomerKey key = KeyOf(customer);
+void WorkspaceLimiter::SetLimits(TimePoint now,
+                                 const WorkspaceName& workspace,
+                                 const WorkspaceLimits& limits) {
+  const WorkspaceKey key = KeyOf(workspace);
   m_home.SetLimits(now, key, limits);
-  std::unique_ptr<Entry>& entry = m_entries[customer];
+  std::unique_ptr<Entry>& entry = m_entries[workspace];
   if (entry == nullptr) {
     entry = std::make_unique<Entry>(
         Account(m_settings, key, limits, m_members.size(), now));
@@ -72,13 +73,13 @@
   entry->account.Reshape(now, limits, m_members.size());
 }
 
-void CustomerLimiter::RemoveCustomer(TimePoint now,
-                                     const CustomerName& customer) {
-  const auto found = m_entries.find(customer);
+void WorkspaceLimiter::RemoveWorkspace(TimePoint now,
+                                       const WorkspaceName& workspace) {
+  const auto found = m_entries.find(workspace);
   if (found == m_entries.end())
     return;
   Entry& entry = *found->second;
-  m_home.RemoveCustomer(entry.account.key());
+  m_home.RemoveWorkspace(entry.account.key());
   entry.is_removed = true;
   if (entry.account.in_flight() > 0)
     return;
@@ -87,34 +88,34 @@
   m_entries.erase(found);
 }
 
-void CustomerLimiter::SetMembers(TimePoint now, std::vector<Peer> members) {
+void WorkspaceLimiter::SetMembers(TimePoint now, std::vector<Peer> members) {
   if (!Contains(members, m_self.id))
     members.push_back(m_self);
   const bool has_departure = HasDeparture(m_members, members);
   m_members = std::move(members);
   m_home.OnMembersChanged(
       now, m_members.size(), has_departure,
-      [this](CustomerKey customer) { return IsHome(customer); });
-  for (const auto& [customer, entry] : m_entries) {
+      [this](WorkspaceKey workspace) { return IsHome(workspace); });
+  for (const auto& [workspace, entry] : m_entries) {
     const auto limits = m_home.LimitsOf(entry->account.key());
     if (limits)
       entry->account.Reshape(now, *limits, m_members.size());
   }
   for (Entry* entry : m_active) {
-    const CustomerKey key = entry->account.key();
+    const WorkspaceKey key = entry->account.key();
     entry->account.SetHome(now, *RendezvousHome(m_members, key.value()));
   }
   Arm(now);
 }
 
-void CustomerLimiter::OnDatagram(TimePoint now,
-                                 const Endpoint& from,
-                                 std::string_view bytes) {
+void WorkspaceLimiter::OnDatagram(TimePoint now,
+                                  const Endpoint& from,
+                                  std::string_view bytes) {
   const std::optional<LimitsDatagram> datagram = DecodeLimits(bytes);
   if (!datagram)
     return;
   for (const Allotment& allotment : datagram->allotments) {
-    const auto found = m_by_key.find(allotment.customer);
+    const auto found = m_by_key.find(allotment.workspace);
     if (found != m_by_key.end())
       found->second->account.Apply(now, allotment);
   }
@@ -123,7 +124,7 @@
   for (const AllotmentRequest& request : datagram->requests) {
     // An entry with other members than ours asks the wrong node; it goes on
     // with its allowance until the members agree.
-    if (!IsHome(request.customer))
+    if (!IsHome(request.workspace))
       continue;
     const auto allotment = m_home.OnRequest(now, datagram->sender, request);
     if (allotment)
@@ -134,7 +135,7 @@
   Arm(now);
 }
 
-void CustomerLimiter::OnTimer(TimePoint now) {
+void WorkspaceLimiter::OnTimer(TimePoint now) {
   if (now < m_next_wakeup)
     return;
   DropInactive(now);
@@ -154,8 +155,8 @@
   Arm(now);
 }
 
-void CustomerLimiter::Activate(TimePoint now, Entry& entry) {
-  const CustomerKey key = entry.account.key();
+void WorkspaceLimiter::Activate(TimePoint now, Entry& entry) {
+  const WorkspaceKey key = entry.account.key();
   entry.account.SetHome(now, *RendezvousHome(m_members, key.value()));
   entry.is_active = true;
   m_active.push_back(&entry);
@@ -163,7 +164,7 @@
   Arm(now);
 }
 
-void CustomerLimiter::DropInactive(TimePoint now) {
+void WorkspaceLimiter::DropInactive(TimePoint now) {
   std::erase_if(m_active, [&](Entry* entry) {
     entry->is_active = entry->account.IsActive(now);
     if (!entry->is_active && entry->account.HasLoan(now))
@@ -172,21 +173,21 @@
   });
 }
 
-Duration CustomerLimiter::Interval() const {
+Duration WorkspaceLimiter::Interval() const {
   const double seconds =
       static_cast<double>(m_active.size()) / m_settings.requests_per_second;
   return std::clamp(FromSeconds(seconds), m_settings.min_interval,
                     MaxInterval(m_settings, m_members.size()));
 }
 
-Duration CustomerLimiter::StarvedInterval() const {
+Duration WorkspaceLimiter::StarvedInterval() const {
   const double seconds =
       static_cast<double>(m_starved) / m_settings.requests_per_second;
   return std::clamp(FromSeconds(seconds), m_settings.min_interval,
                     MaxInterval(m_settings, m_members.size()));
 }
 
-void CustomerLimiter::Ask(TimePoint now, const std::vector<Account*>& due) {
+void WorkspaceLimiter::Ask(TimePoint now, const std::vector<Account*>& due) {
   std::map<Endpoint, LimitsDatagram> by_home;
   for (Account* account : due) {
     const AllotmentRequest request = account->MakeRequest(
@@ -206,7 +207,7 @@
   }
 }
 
-void CustomerLimiter::Release(TimePoint now, Account& account) {
+void WorkspaceLimiter::Release(TimePoint now, Account& account) {
   LimitsDatagram datagram;
   datagram.sender = m_self.id;
   datagram.requests = {
@@ -221,15 +222,15 @@
   }
 }
 
-void CustomerLimiter::Arm(TimePoint now) {
+void WorkspaceLimiter::Arm(TimePoint now) {
   if (!m_active.empty())
     m_next_wakeup = std::min(m_next_wakeup, now + m_settings.min_interval / 2);
   else if (m_home.AccountCount() > 0)
     m_next_wakeup = std::min(m_next_wakeup, now + kIdlePeriod);
 }
 
-bool CustomerLimiter::IsHome(CustomerKey customer) const {
-  return RendezvousHome(m_members, customer.value())->id == m_self.id;
+bool WorkspaceLimiter::IsHome(WorkspaceKey workspace) const {
+  return RendezvousHome(m_members, workspace.value())->id == m_self.id;
 }
 
 }  // namespace bulrushmount
--- a/source/core/limits/customer_limiter.h
+++ b/source/core/limits/workspace_limiter.h
@@ -1,8 +1,8 @@
-// The limits of customers over all entries together, as one node takes part in
-// them: as an entry, and as the limiter home of some customers.
+// The limits of workspaces over all entries together, as one node takes part in
+// them: as an entry, and as the limiter home of some workspaces.
 
-#ifndef BULRUSHMOUNT_CORE_LIMITS_CUSTOMER_LIMITER_H_
-#define BULRUSHMOUNT_CORE_LIMITS_CUSTOMER_LIMITER_H_
+#ifndef BULRUSHMOUNT_CORE_LIMITS_WORKSPACE_LIMITER_H_
+#define BULRUSHMOUNT_CORE_LIMITS_WORKSPACE_LIMITER_H_
 
 #include <cstddef>
 #include <memory>
@@ -24,29 +24,29 @@
 
 namespace bulrushmount {
 
-class CustomerLimiter {
+class WorkspaceLimiter {
  public:
   // `datagrams` must outlive the object.
-  CustomerLimiter(const LimitsSettings& settings,
-                  const Peer& self,
-                  DatagramPort& datagrams,
-                  TimePoint now);
+  WorkspaceLimiter(const LimitsSettings& settings,
+                   const Peer& self,
+                   DatagramPort& datagrams,
+                   TimePoint now);
 
-  CustomerLimiter(const CustomerLimiter&) = delete;
-  CustomerLimiter& operator=(const CustomerLimiter&) = delete;
+  WorkspaceLimiter(const WorkspaceLimiter&) = delete;
+  WorkspaceLimiter& operator=(const WorkspaceLimiter&) = delete;
 
   // kNone: admitted, and the caller owes one OnCallEnded. Else
-  // kCustomerRateLimit, kCustomerInFlightLimit, or kUnknownCustomer without
-  // limits. Decides at once, also at a customer's first call.
-  Reason TryAdmit(TimePoint now, const CustomerName& customer, double units);
-  void OnCallEnded(TimePoint now, const CustomerName& customer);
+  // kWorkspaceRateLimit, kWorkspaceInFlightLimit, or kUnknownWorkspace without
+  // limits. Decides at once, also at a workspace's first call.
+  Reason TryAdmit(TimePoint now, const WorkspaceName& workspace, double units);
+  void OnCallEnded(TimePoint now, const WorkspaceName& workspace);
 
   // The contract in force; also when it changes.
   void SetLimits(TimePoint now,
-                 const CustomerName& customer,
-                 const CustomerLimits& limits);
+                 const WorkspaceName& workspace,
+                 const WorkspaceLimits& limits);
   // Calls in flight go on and still owe their OnCallEnded.
-  void RemoveCustomer(TimePoint now, const CustomerName& customer);
+  void RemoveWorkspace(TimePoint now, const WorkspaceName& workspace);
 
   // All live members; this node is added if it is missing.
   void SetMembers(TimePoint now, std::vector<Peer> members);
@@ -69,7 +69,7 @@
     Account account;
     // Whether it is in m_active.
     bool is_active = false;
-    // The customer has no contract any more; kept for its calls in flight.
+    // The workspace has no contract any more; kept for its calls in flight.
     bool is_removed = false;
   };
 
@@ -81,20 +81,20 @@
   void Ask(TimePoint now, const std::vector<Account*>& due);
   void Release(TimePoint now, Account& account);
   void Arm(TimePoint now);
-  bool IsHome(CustomerKey customer) const;
+  bool IsHome(WorkspaceKey workspace) const;
 
   LimitsSettings m_settings;
   Peer m_self;
   DatagramPort& m_datagrams;
   LimiterHome m_home;
   std::vector<Peer> m_members;
-  std::unordered_map<CustomerName, std::unique_ptr<Entry>> m_entries;
-  std::unordered_map<CustomerKey, Entry*> m_by_key;
-  // Customers with recent calls, or calls in flight; only they cost messages.
+  std::unordered_map<WorkspaceName, std::unique_ptr<Entry>> m_entries;
+  std::unordered_map<WorkspaceKey, Entry*> m_by_key;
+  // Workspaces with recent calls, or calls in flight; only they cost messages.
   std::vector<Entry*> m_active;
   // Of m_active, at the last timer: those that lack credit.
   std::size_t m_starved = 0;
-  // Sessions and requests of all customers are numbered together, from 1.
+  // Sessions and requests of all workspaces are numbered together, from 1.
   std::uint64_t m_next_session = 1;
   std::uint64_t m_next_number = 1;
   TimePoint m_next_wakeup = TimePoint::max();
@@ -102,4 +102,4 @@
 
 }  // namespace bulrushmount
 
-#endif  // BULRUSHMOUNT_CORE_LIMITS_CUSTOMER_LIMITER_H_
+#endif  // BULRUSHMOUNT_CORE_LIMITS_WORKSPACE_LIMITER_H_
--- a/source/core/node_logic/call_types.h
+++ b/source/core/node_logic/call_types.h
@@ -17,7 +17,7 @@
 // A caller's request as the entry sees it.
 struct CallHead {
   RequestId request_id;
-  CustomerName customer;
+  WorkspaceName workspace;
   ServiceName service;
   // As sent, with its port if it has one.
   std::string host;
@@ -27,7 +27,7 @@
   // The caller's own, shorter than the contract's; empty if not given.
   std::optional<Duration> deadline;
   std::optional<IdempotencyKey> idempotency_key;
-  // Of customer, method, path and the first bytes of the body.
+  // Of workspace, method, path and the first bytes of the body.
   Fingerprint fingerprint;
   // Whether the transport holds the whole body and so can send it again.
   bool is_body_buffered = true;
@@ -37,7 +37,7 @@
 struct WorkHead {
   RequestId request_id;
   NodeId entry;
-  CustomerName customer;
+  WorkspaceName workspace;
   ServiceName service;
   KindName kind;
   std::string method;
--- a/source/core/node_logic/entry_side.cc
+++ b/source/core/node_logic/entry_side.cc
@@ -182,7 +182,7 @@
   if (!has_terms)
     return;
   CallRecord record;
-  record.customer = call.head.customer;
+  record.workspace = call.head.workspace;
   record.service = call.head.service;
   record.kind = call.terms.kind.name;
   record.outcome = end.outcome;
--- a/source/core/node_logic/entry_side.h
+++ b/source/core/node_logic/entry_side.h
@@ -11,7 +11,7 @@
 #include "core/claims/claim_book.h"
 #include "core/common/random.h"
 #include "core/contracts/contract_store.h"
-#include "core/limits/customer_limiter.h"
+#include "core/limits/workspace_limiter.h"
 #include "core/node_logic/events.h"
 #include "core/node_logic/node_settings.h"
 #include "core/pipeline/call_pipeline.h"
@@ -31,7 +31,7 @@
   struct Parts {
     const ContractStore& contracts;
     RouteTable& routes;
-    CustomerLimiter& limiter;
+    WorkspaceLimiter& limiter;
     Quarantine& quarantine;
     ClaimBook& claims;
     Router& router;
--- a/source/core/node_logic/events.h
+++ b/source/core/node_logic/events.h
@@ -186,7 +186,7 @@
 struct OperatorRequested {
   OperatorRequestId request;
   OperatorVerb verb = OperatorVerb::kShow;
-  CustomerName customer;
+  WorkspaceName workspace;
   // kWrite: the contract's YAML, as sent.
   std::string body;
   // The `If-Match` version; 0 without one.
--- a/source/core/node_logic/node.cc
+++ b/source/core/node_logic/node.cc
@@ -19,7 +19,7 @@
 
 constexpr int kFirstServerError = 500;
 
-// Series of pairs of customer and kind that a node keeps histograms of.
+// Series of pairs of workspace and kind that a node keeps histograms of.
 constexpr std::size_t kMaxReportSeries = 512;
 
 // A node that leaves waits no longer for what is only tidy: its row in the
@@ -204,7 +204,7 @@
     return route && route->is_repeatable;
   }
   const KindMatchResult match = m_contracts.MatchKind(
-      head.customer, head.service, head.method, head.target);
+      head.workspace, head.service, head.method, head.target);
   const auto* const matched = std::get_if<MatchedKind>(&match);
   return matched && matched->kind->is_repeatable;
 }
--- a/source/core/node_logic/node.h
+++ b/source/core/node_logic/node.h
@@ -16,7 +16,7 @@
 #include "core/contracts/contract_store.h"
 #include "core/contracts/contract_writer.h"
 #include "core/contracts/watch_duty.h"
-#include "core/limits/customer_limiter.h"
+#include "core/limits/workspace_limiter.h"
 #include "core/measuring/probe_scheduler.h"
 #include "core/membership/member_directory.h"
 #include "core/membership/membership.h"
@@ -57,7 +57,7 @@
   const Member* FindOwner(NodeId node) const override;
 
   void OnContractChanged(TimePoint now,
-                         const CustomerName& customer,
+                         const WorkspaceName& workspace,
                          const Contract* contract) override;
 
   // One overload for each event.
@@ -129,7 +129,7 @@
   ContractWriter m_contract_writer;
   ConfigSync m_config_sync;
   WatchDuty m_watch_duty;
-  CustomerLimiter m_limiter;
+  WorkspaceLimiter m_limiter;
   Quarantine m_quarantine;
   ClaimBook m_claims;
   ClaimSweeper m_claim_sweeper;
--- a/source/core/node_logic/node_settle.cc
+++ b/source/core/node_logic/node_settle.cc
@@ -180,24 +180,24 @@
 }
 
 void Node::OnContractChanged(TimePoint now,
-                             const CustomerName& customer,
+                             const WorkspaceName& workspace,
                              const Contract* contract) {
-  if (customer.value() == kRouteDocument) {
+  if (workspace.value() == kRouteDocument) {
     TakeRouteDocument(now);
     return;
   }
   LogLine(LogLevel::kInfo, "contract.in_force")
-      .Add("customer", customer)
+      .Add("workspace", workspace)
       .Add("revision", m_contracts.revision())
       .Add("withdrawn", contract == nullptr);
   const auto* terms =
-      contract ? std::get_if<CustomerTerms>(&contract->terms) : nullptr;
+      contract ? std::get_if<WorkspaceTerms>(&contract->terms) : nullptr;
   if (terms) {
-    m_limiter.SetLimits(now, customer, terms->limits);
+    m_limiter.SetLimits(now, workspace, terms->limits);
     return;
   }
-  m_limiter.RemoveCustomer(now, customer);
-  m_recorder.Forget(customer);
+  m_limiter.RemoveWorkspace(now, workspace);
+  m_recorder.Forget(workspace);
 }
 
 void Node::TakeRouteDocument(TimePoint now) {
@@ -240,7 +240,7 @@
     return;
   m_probes_revision = revision;
   const Contract* contract =
-      m_contracts.Find(CustomerName(kMeasurementCustomer));
+      m_contracts.Find(WorkspaceName(kMeasurementWorkspace));
   const auto* terms =
       contract ? std::get_if<MeasuringTerms>(&contract->terms) : nullptr;
   m_probes.OnContract(now, revision, terms);
--- a/source/core/node_logic/owner_side.cc
+++ b/source/core/node_logic/owner_side.cc
@@ -116,7 +116,7 @@
     return;
   }
   AdmissionRequest request;
-  request.customer = head.customer;
+  request.workspace = head.workspace;
   request.kind = head.kind;
   request.weight = head.weight;
   request.share = head.share;
@@ -225,7 +225,7 @@
   NoteEnd(now, *work, "answered");
   const bool is_error = work->status >= kFirstServerError;
   m_life.OnReal(now, is_error ? RealResult::kError : RealResult::kAnswered,
-                work->head.customer);
+                work->head.workspace);
   m_quarantine.OnWorkEnded(work->admitted());
   Apply(now, m_admission.OnEnded(now, id, WorkEnd::kAnswered));
 }
@@ -236,7 +236,7 @@
   if (!work)
     return;
   NoteEnd(now, *work, TraitsOf(Reason::kTargetLost).token);
-  m_life.OnReal(now, RealResult::kBrokenOff, work->head.customer);
+  m_life.OnReal(now, RealResult::kBrokenOff, work->head.workspace);
   NoteBroken(now, *work);
   m_actions.Push(FailWork{event.work, Reason::kTargetLost, load()});
   AdmissionOutput output =
@@ -346,7 +346,7 @@
   if (!work)
     return;
   NoteEnd(now, *work, TraitsOf(reason).token);
-  m_life.OnReal(now, result, work->head.customer);
+  m_life.OnReal(now, result, work->head.workspace);
   m_quarantine.OnWorkEnded(work->admitted());
   AdmissionOutput output = m_admission.OnEnded(now, id, WorkEnd::kNotRun);
   Refuse(id, reason);
--- a/source/core/pipeline/call.h
+++ b/source/core/pipeline/call.h
@@ -20,7 +20,7 @@
 
 namespace bulrushmount {
 
-// What the customer's contract says of this call. Copied at arrival, so that a
+// What the workspace's contract says of this call. Copied at arrival, so that a
 // change of the contract does not alter a call that is under way.
 struct CallTerms {
   KindTerms kind;
--- a/source/core/pipeline/claim_filter.cc
+++ b/source/core/pipeline/claim_filter.cc
@@ -16,7 +16,7 @@
   }
 
   ClaimRequest request;
-  request.customer = call.head.customer;
+  request.workspace = call.head.workspace;
   request.key = *call.head.idempotency_key;
   request.fingerprint = call.head.fingerprint;
   request.deadline = call.deadline;
--- a/source/core/pipeline/contract_filter.cc
+++ b/source/core/pipeline/contract_filter.cc
@@ -10,7 +10,7 @@
 FilterVerdict ContractFilter::OnCall(TimePoint now, Call& call) {
   const CallHead& head = call.head;
   const KindMatchResult match = m_contracts.MatchKind(
-      head.customer, head.service, head.method, head.target);
+      head.workspace, head.service, head.method, head.target);
   if (const auto* reason = std::get_if<Reason>(&match))
     return RefuseCall(*reason);
 
--- a/source/core/pipeline/contract_filter.h
+++ b/source/core/pipeline/contract_filter.h
@@ -1,4 +1,4 @@
-// Finds what the customer's contract says of a call, and sets its deadline.
+// Finds what the workspace's contract says of a call, and sets its deadline.
 
 #ifndef BULRUSHMOUNT_CORE_PIPELINE_CONTRACT_FILTER_H_
 #define BULRUSHMOUNT_CORE_PIPELINE_CONTRACT_FILTER_H_
--- a/source/core/pipeline/dispatcher.cc
+++ b/source/core/pipeline/dispatcher.cc
@@ -335,7 +335,7 @@
   WorkHead head;
   head.request_id = call.head.request_id;
   head.entry = m_settings.self;
-  head.customer = call.head.customer;
+  head.workspace = call.head.workspace;
   head.service = call.head.service;
   head.kind = call.terms.kind.name;
   head.method = call.head.method;
--- a/source/core/pipeline/limit_filter.cc
+++ b/source/core/pipeline/limit_filter.cc
@@ -6,7 +6,7 @@
 
 FilterVerdict LimitFilter::OnCall(TimePoint now, Call& call) {
   const Reason reason =
-      m_limiter.TryAdmit(now, call.head.customer, call.terms.kind.weight);
+      m_limiter.TryAdmit(now, call.head.workspace, call.terms.kind.weight);
   if (reason != Reason::kNone)
     return RefuseCall(reason);
   call.holds_limit = true;
@@ -15,7 +15,7 @@
 
 void LimitFilter::OnCallEnded(TimePoint now, Call& call, const CallEnd& end) {
   if (call.holds_limit)
-    m_limiter.OnCallEnded(now, call.head.customer);
+    m_limiter.OnCallEnded(now, call.head.workspace);
   call.holds_limit = false;
 }
 
--- a/source/core/pipeline/limit_filter.h
+++ b/source/core/pipeline/limit_filter.h
@@ -1,9 +1,9 @@
-// Applies the customer's limits to a call.
+// Applies the workspace's limits to a call.
 
 #ifndef BULRUSHMOUNT_CORE_PIPELINE_LIMIT_FILTER_H_
 #define BULRUSHMOUNT_CORE_PIPELINE_LIMIT_FILTER_H_
 
-#include "core/limits/customer_limiter.h"
+#include "core/limits/workspace_limiter.h"
 #include "core/pipeline/filter.h"
 
 namespace bulrushmount {
@@ -11,13 +11,13 @@
 class LimitFilter : public CallFilter {
  public:
   // `limiter` must outlive the object.
-  explicit LimitFilter(CustomerLimiter& limiter) : m_limiter(limiter) {}
+  explicit LimitFilter(WorkspaceLimiter& limiter) : m_limiter(limiter) {}
 
   FilterVerdict OnCall(TimePoint now, Call& call) override;
   void OnCallEnded(TimePoint now, Call& call, const CallEnd& end) override;
 
  private:
-  CustomerLimiter& m_limiter;
+  WorkspaceLimiter& m_limiter;
 };
 
 }  // namespace bulrushmount
--- a/source/core/reporting/burn_report.cc
+++ b/source/core/reporting/burn_report.cc
@@ -23,7 +23,7 @@
 static_assert(kWindowTraits.size() == kBurnWindowCount);
 
 auto NameOf(const BurnSeries& series) {
-  return std::tie(series.customer, series.service, series.kind);
+  return std::tie(series.workspace, series.service, series.kind);
 }
 
 bool BurnsIn(const BurnSeries& series, BurnWindow window, double threshold) {
--- a/source/core/reporting/burn_report.h
+++ b/source/core/reporting/burn_report.h
@@ -73,7 +73,7 @@
 Duration LatencyCellUpperBound(std::uint32_t index);
 
 struct BurnSeries {
-  CustomerName customer;
+  WorkspaceName workspace;
   ServiceName service;
   KindName kind;
   LatencyObjective objective;
@@ -93,7 +93,7 @@
   // How many nodes' parts are in it, and how many did not answer.
   std::uint32_t nodes = 0;
   std::uint32_t nodes_missing = 0;
-  // In the order of customer, service and kind, each once.
+  // In the order of workspace, service and kind, each once.
   std::vector<BurnSeries> series;
 
   friend bool operator==(const BurnReport&, const BurnReport&) = default;
--- a/source/core/reporting/burn_report_format.cc
+++ b/source/core/reporting/burn_report_format.cc
@@ -16,7 +16,7 @@
 constexpr double kMedian = 0.5;
 constexpr double kTail = 0.99;
 constexpr double kPercent = 100.0;
-constexpr std::string_view kNameHead = "customer/service/kind";
+constexpr std::string_view kNameHead = "workspace/service/kind";
 
 // A pair's short window stands beside its long one.
 constexpr std::array kShownWindows = {
@@ -41,7 +41,7 @@
 }
 
 std::string NameText(const BurnSeries& series) {
-  return fmt::format("{}/{}/{}", series.customer, series.service, series.kind);
+  return fmt::format("{}/{}/{}", series.workspace, series.service, series.kind);
 }
 
 // Names come from operators' files: nothing of them may act on a terminal.
--- a/source/core/reporting/burn_report_json.cc
+++ b/source/core/reporting/burn_report_json.cc
@@ -53,7 +53,7 @@
 
 json::object SeriesToJson(const BurnSeries& series) {
   return {
-      {"customer", series.customer.value()},
+      {"workspace", series.workspace.value()},
       {"service", series.service.value()},
       {"kind", series.kind.value()},
       {"objective",
@@ -186,7 +186,7 @@
 BurnSeries ReadSeries(Reader& reader, const json::value& value) {
   const json::object& in = reader.Object(&value, "series");
   BurnSeries series;
-  series.customer = CustomerName(reader.Text(in, "customer"));
+  series.workspace = WorkspaceName(reader.Text(in, "workspace"));
   series.service = ServiceName(reader.Text(in, "service"));
   series.kind = KindName(reader.Text(in, "kind"));
   series.objective = ReadObjective(reader, in);
--- a/source/core/reporting/call_recorder.cc
+++ b/source/core/reporting/call_recorder.cc
@@ -81,7 +81,7 @@
 };
 
 struct SeriesName {
-  CustomerName customer;
+  WorkspaceName workspace;
   ServiceName service;
   KindName kind;
 
@@ -92,7 +92,7 @@
 
 struct SeriesNameHash {
   std::size_t operator()(const SeriesName& name) const {
-    std::size_t hash = std::hash<CustomerName>()(name.customer);
+    std::size_t hash = std::hash<WorkspaceName>()(name.workspace);
     hash = hash * kHashFactor + std::hash<ServiceName>()(name.service);
     return hash * kHashFactor + std::hash<KindName>()(name.kind);
   }
@@ -134,13 +134,13 @@
   switch (reason) {
     case Reason::kMalformedRequest:
     case Reason::kHeadTooLarge:
-    case Reason::kUnknownCustomer:
+    case Reason::kUnknownWorkspace:
     case Reason::kUnknownService:
     case Reason::kUnknownKind:
     case Reason::kIdempotencyKeyRequired:
     case Reason::kIdempotencyKeyReused:
-    case Reason::kCustomerRateLimit:
-    case Reason::kCustomerInFlightLimit:
+    case Reason::kWorkspaceRateLimit:
+    case Reason::kWorkspaceInFlightLimit:
     case Reason::kQuarantined:
     case Reason::kSuspect:
     case Reason::kInProgress:
@@ -175,12 +175,13 @@
 };
 
 Series& CallRecorder::State::Find(const CallRecord& record) {
-  SeriesName name{record.customer, record.service, record.kind};
+  SeriesName name{record.workspace, record.service, record.kind};
   const auto found = series.find(name);
   if (found != series.end())
     return found->second;
   if (series.size() >= max_series) {
-    name = {CustomerName(kOtherCustomer), ServiceName(), KindName(kOtherKind)};
+    name = {WorkspaceName(kOtherWorkspace), ServiceName(),
+            KindName(kOtherKind)};
   }
   return series[std::move(name)];
 }
@@ -210,7 +211,7 @@
   const std::int64_t step = m_state->StepOf(now);
   for (auto& [name, series] : m_state->series) {
     BurnSeries part;
-    part.customer = name.customer;
+    part.workspace = name.workspace;
     part.service = name.service;
     part.kind = name.kind;
     part.objective = series.objective;
@@ -223,14 +224,14 @@
     report.series.push_back(std::move(part));
   }
   std::ranges::sort(report.series, {}, [](const BurnSeries& part) {
-    return std::tie(part.customer, part.service, part.kind);
+    return std::tie(part.workspace, part.service, part.kind);
   });
   return report;
 }
 
-void CallRecorder::Forget(const CustomerName& customer) {
-  std::erase_if(m_state->series, [&customer](const auto& entry) {
-    return entry.first.customer == customer;
+void CallRecorder::Forget(const WorkspaceName& workspace) {
+  std::erase_if(m_state->series, [&workspace](const auto& entry) {
+    return entry.first.workspace == workspace;
   });
 }
 
--- a/source/core/reporting/call_recorder.h
+++ b/source/core/reporting/call_recorder.h
@@ -1,4 +1,4 @@
-// What a node's calls came to, per customer and kind: latency histograms,
+// What a node's calls came to, per workspace and kind: latency histograms,
 // outcomes, and good and bad calls in sliding windows. Memory is bounded.
 
 #ifndef BULRUSHMOUNT_CORE_REPORTING_CALL_RECORDER_H_
@@ -18,7 +18,7 @@
 
 // A call that has ended.
 struct CallRecord {
-  CustomerName customer;
+  WorkspaceName workspace;
   ServiceName service;
   KindName kind;
   Outcome outcome = Outcome::kAnswered;
@@ -37,14 +37,14 @@
   kGood,
   // A late answer, an unknown outcome, or a refusal by the system's state.
   kBad,
-  // A fault of the request itself or the customer's own limit: it says
+  // A fault of the request itself or the workspace's own limit: it says
   // nothing of the service.
   kNotCounted,
 };
 
 CallVerdict Judge(const CallRecord& record);
 
-inline constexpr char kOtherCustomer[] = "(other)";
+inline constexpr char kOtherWorkspace[] = "(other)";
 inline constexpr char kOtherKind[] = "(other)";
 
 // Windows move in steps of this; they include the step under way.
@@ -52,8 +52,8 @@
 
 class CallRecorder {
  public:
-  // Beyond `max_series` pairs of customer and kind, further ones are counted
-  // together under the kind kOtherKind of the customer kOtherCustomer.
+  // Beyond `max_series` pairs of workspace and kind, further ones are counted
+  // together under the kind kOtherKind of the workspace kOtherWorkspace.
   CallRecorder(TimePoint now, std::size_t max_series);
   ~CallRecorder();
 
@@ -66,7 +66,7 @@
   BurnReport Snapshot(TimePoint now);
 
   // Forgets a withdrawn contract's series.
-  void Forget(const CustomerName& customer);
+  void Forget(const WorkspaceName& workspace);
 
   std::size_t series_count() const;
 
--- a/source/core/target_state/target_evidence.cc
+++ b/source/core/target_state/target_evidence.cc
@@ -8,7 +8,7 @@
 
 void TargetEvidence::OnReal(TimePoint now,
                             RealResult result,
-                            const CustomerName& customer) {
+                            const WorkspaceName& workspace) {
   m_connects_failed =
       result == RealResult::kConnectFailed ? m_connects_failed + 1 : 0;
   switch (result) {
@@ -28,7 +28,7 @@
     case RealResult::kBrokenOff:
       break;
   }
-  Remember({customer, now, result != RealResult::kAnswered});
+  Remember({workspace, now, result != RealResult::kAnswered});
 }
 
 void TargetEvidence::Remember(const Result& result) {
@@ -36,12 +36,12 @@
   if (m_results.size() > m_thresholds.window) {
     m_results.pop_front();
   }
-  std::erase_if(m_by_customer, [&](const Result& known) {
-    return known.customer == result.customer;
+  std::erase_if(m_by_workspace, [&](const Result& known) {
+    return known.workspace == result.workspace;
   });
-  m_by_customer.push_back(result);
-  if (m_by_customer.size() > m_thresholds.customers) {
-    m_by_customer.pop_front();
+  m_by_workspace.push_back(result);
+  if (m_by_workspace.size() > m_thresholds.workspaces) {
+    m_by_workspace.pop_front();
   }
 }
 
@@ -65,32 +65,32 @@
   const auto results = static_cast<double>(m_results.size());
   return static_cast<double>(failures) >=
              m_thresholds.failed_fraction * results &&
-         DoCustomersAgree(now);
+         DoWorkspacesAgree(now);
 }
 
 std::vector<TargetEvidence::Vote> TargetEvidence::Votes(TimePoint now) const {
   std::vector<Vote> votes;
   const auto add = [&](const Result& result) {
-    if (now - result.at >= m_thresholds.customer_memory) {
+    if (now - result.at >= m_thresholds.workspace_memory) {
       return;
     }
     auto vote = std::find_if(votes.begin(), votes.end(), [&](const Vote& one) {
-      return one.customer == result.customer;
+      return one.workspace == result.workspace;
     });
     if (vote == votes.end()) {
-      vote = votes.insert(votes.end(), Vote{result.customer});
+      vote = votes.insert(votes.end(), Vote{result.workspace});
     }
     ++vote->results;
     vote->failures += result.is_failure ? 1 : 0;
   };
   std::for_each(m_results.begin(), m_results.end(), add);
-  if (votes.size() >= m_thresholds.least_customers) {
+  if (votes.size() >= m_thresholds.least_workspaces) {
     return votes;
   }
-  for (const Result& last : m_by_customer) {
+  for (const Result& last : m_by_workspace) {
     const bool is_in_window = std::any_of(
         m_results.begin(), m_results.end(),
-        [&](const Result& one) { return one.customer == last.customer; });
+        [&](const Result& one) { return one.workspace == last.workspace; });
     if (!is_in_window) {
       add(last);
     }
@@ -98,10 +98,10 @@
   return votes;
 }
 
-// Each customer counts alike, however many requests it sends. What goes wrong
-// else: one customer whose requests always fail sends four fifths of the
+// Each workspace counts alike, however many requests it sends. What goes wrong
+// else: one workspace whose requests always fail sends four fifths of the
 // traffic, and takes one target out after the other for all others.
-bool TargetEvidence::DoCustomersAgree(TimePoint now) const {
+bool TargetEvidence::DoWorkspacesAgree(TimePoint now) const {
   const std::vector<Vote> votes = Votes(now);
   double failed = 0;
   for (const Vote& vote : votes) {
@@ -112,13 +112,13 @@
          m_thresholds.failed_fraction * static_cast<double>(votes.size());
 }
 
-bool TargetEvidence::IsOfOneCustomer(TimePoint now) const {
+bool TargetEvidence::IsOfOneWorkspace(TimePoint now) const {
   if (m_connects_failed >= m_thresholds.connects_failed ||
       m_sheds >= m_thresholds.sheds) {
     return false;
   }
   const std::vector<Vote> votes = Votes(now);
-  return votes.size() == 1 && votes.front().customer != CustomerName();
+  return votes.size() == 1 && votes.front().workspace != WorkspaceName();
 }
 
 bool TargetEvidence::IsFailingProbes(TimePoint now) const {
--- a/source/core/target_state/target_evidence.h
+++ b/source/core/target_state/target_evidence.h
@@ -40,12 +40,12 @@
   double failed_fraction = 0.8;
   std::size_t window = 20;
   std::size_t least_results = 10;
-  // Results count for their customers for `customer_memory`. With fewer
-  // customers than this in the window, the last results of others count too.
-  std::size_t least_customers = 3;
-  Duration customer_memory = std::chrono::seconds(10);
-  // Of at most so many customers the last result is kept.
-  std::size_t customers = 16;
+  // Results count for their workspaces for `workspace_memory`. With fewer
+  // workspaces than this in the window, the last results of others count too.
+  std::size_t least_workspaces = 3;
+  Duration workspace_memory = std::chrono::seconds(10);
+  // Of at most so many workspaces the last result is kept.
+  std::size_t workspaces = 16;
   // A target on trial after real failures: its first results, all failures.
   std::size_t trial_results = 3;
   // Probes failed or unhealthy one after the other.
@@ -59,7 +59,7 @@
   explicit TargetEvidence(const EvidenceThresholds& thresholds)
       : m_thresholds(thresholds) {}
 
-  void OnReal(TimePoint now, RealResult result, const CustomerName& customer);
+  void OnReal(TimePoint now, RealResult result, const WorkspaceName& workspace);
   void OnProbe(bool is_healthy);
 
   // Real requests say that new ones would fail.
@@ -68,9 +68,9 @@
   bool IsFailingProbes(TimePoint now) const;
   // A real answer has come of late.
   bool IsObserved(TimePoint now) const;
-  // The results come from one customer, by its name: it may be to blame itself.
-  // Refused connections and sheds are nobody's doing.
-  bool IsOfOneCustomer(TimePoint now) const;
+  // The results come from one workspace, by its name: it may be to blame
+  // itself. Refused connections and sheds are nobody's doing.
+  bool IsOfOneWorkspace(TimePoint now) const;
   // When IsObserved ends, if it holds.
   std::optional<TimePoint> ObservedUntil() const;
 
@@ -81,28 +81,28 @@
 
  private:
   struct Result {
-    CustomerName customer;
+    WorkspaceName workspace;
     TimePoint at;
     bool is_failure = false;
   };
 
-  // One customer's part in the judgement.
+  // One workspace's part in the judgement.
   struct Vote {
-    CustomerName customer;
+    WorkspaceName workspace;
     std::size_t results = 0;
     std::size_t failures = 0;
   };
 
   void Remember(const Result& result);
   std::vector<Vote> Votes(TimePoint now) const;
-  bool DoCustomersAgree(TimePoint now) const;
+  bool DoWorkspacesAgree(TimePoint now) const;
 
   EvidenceThresholds m_thresholds;
   // The last results.
   std::deque<Result> m_results;
-  // The last one of each customer, the newest at the end. Kept in a trial: what
-  // others got a moment ago still speaks.
-  std::deque<Result> m_by_customer;
+  // The last one of each workspace, the newest at the end. Kept in a trial:
+  // what others got a moment ago still speaks.
+  std::deque<Result> m_by_workspace;
   std::uint32_t m_connects_failed = 0;
   std::uint32_t m_sheds = 0;
   std::uint32_t m_probes_failed = 0;
--- a/source/core/target_state/target_life.cc
+++ b/source/core/target_state/target_life.cc
@@ -122,7 +122,7 @@
 // After real failures the target goes through its cold start again, so little
 // work goes to it until real answers have come.
 void TargetLife::Impl::TryAgain(TimePoint now) {
-  const Duration longest = evidence.IsOfOneCustomer(now)
+  const Duration longest = evidence.IsOfOneWorkspace(now)
                                ? settings.longest_suspicion_by_one
                                : settings.longest_suspicion;
   suspicion = std::min(2 * suspicion, longest);
@@ -224,14 +224,14 @@
 
 void TargetLife::OnReal(TimePoint now,
                         RealResult result,
-                        const CustomerName& customer) {
+                        const WorkspaceName& workspace) {
   m_impl->last_call = now;
   const bool is_answered = result == RealResult::kAnswered;
   if (is_answered && state() == TargetState::kSuspect &&
       !m_impl->is_suspected_by_real) {
     m_impl->TryAgain(now);
   }
-  m_impl->evidence.OnReal(now, result, customer);
+  m_impl->evidence.OnReal(now, result, workspace);
   if (is_answered) {
     m_impl->cold_start.OnAnswered();
     if (state() == TargetState::kAnnounced) {
--- a/source/core/target_state/target_life.h
+++ b/source/core/target_state/target_life.h
@@ -42,7 +42,7 @@
   // suspicion up to the longest.
   Duration shortest_suspicion = std::chrono::seconds(1);
   Duration longest_suspicion = std::chrono::seconds(30);
-  // The same if only one customer's requests failed and no other's are known:
+  // The same if only one workspace's requests failed and no other's are known:
   // the others must not be kept from the target for long by its doing.
   Duration longest_suspicion_by_one = std::chrono::seconds(4);
   // Announcements that fail to come in turn before the target is gone.
@@ -83,10 +83,10 @@
   // All its connections broke with requests in flight: it crashed.
   void OnCrashed(TimePoint now);
 
-  // `customer` sent the request.
+  // `workspace` sent the request.
   void OnReal(TimePoint now,
               RealResult result,
-              const CustomerName& customer = CustomerName());
+              const WorkspaceName& workspace = WorkspaceName());
 
   // `is_healthy` is false also for a probe without an answer.
   void OnProbe(TimePoint now, bool is_healthy);
--- a/source/core/transport/http1_head.cc
+++ b/source/core/transport/http1_head.cc
@@ -215,10 +215,10 @@
 Reason ReadCallHead(const http::fields& fields, CallHead& head) {
   head.host = std::string(fields["Host"]);
   head.service = ServiceName(std::string(ServiceOf(head.host)));
-  head.customer = CustomerName(std::string(fields["Bulrushmount-Customer"]));
+  head.workspace = WorkspaceName(std::string(fields["Bulrushmount-Workspace"]));
   head.request_id = RequestId(std::string(fields["Bulrushmount-Request-Id"]));
   if (fields.count("Idempotency-Key") > 1 ||
-      fields.count("Bulrushmount-Customer") > 1 ||
+      fields.count("Bulrushmount-Workspace") > 1 ||
       fields.count("Bulrushmount-Deadline-Ms") > 1) {
     return Reason::kMalformedRequest;
   }
@@ -242,7 +242,7 @@
 
 Fingerprint FingerprintOf(const CallHead& head, std::string_view body_start) {
   // A zero byte cannot occur in the first three, so it keeps them apart.
-  const std::string prefix = fmt::format("{}{}{}{}{}{}", head.customer, '\0',
+  const std::string prefix = fmt::format("{}{}{}{}{}{}", head.workspace, '\0',
                                          head.method, '\0', head.target, '\0');
   const std::uint64_t seed = XXH64(prefix.data(), prefix.size(), 0);
   return Fingerprint(XXH64(body_start.data(), body_start.size(), seed));
--- a/source/core/transport/http1_head.h
+++ b/source/core/transport/http1_head.h
@@ -73,7 +73,7 @@
 // open. kNone if it is sound.
 Reason ReadCallHead(const boost::beast::http::fields& fields, CallHead& head);
 
-// Of customer, method, target and the first bytes of the body.
+// Of workspace, method, target and the first bytes of the body.
 Fingerprint FingerprintOf(const CallHead& head, std::string_view body_start);
 
 std::string ToText(const RequestHead& head);
--- a/source/core/transport/operators/operator_server.cc
+++ b/source/core/transport/operators/operator_server.cc
@@ -161,7 +161,7 @@
   }
   const OperatorRequestId id(++m_last_id);
   m_waiting.emplace(id, respond);
-  m_events.Emit(OperatorRequested{id, *verb, CustomerName(std::string(name)),
+  m_events.Emit(OperatorRequested{id, *verb, WorkspaceName(std::string(name)),
                                   request.body, *version});
 }
 
--- a/source/core/transport/peers/node_stream_codec.cc
+++ b/source/core/transport/peers/node_stream_codec.cc
@@ -19,7 +19,7 @@
 constexpr std::string_view kPrefix = "bulrushmount-";
 constexpr std::string_view kRequestId = "bulrushmount-request-id";
 constexpr std::string_view kEntry = "bulrushmount-entry";
-constexpr std::string_view kCustomer = "bulrushmount-customer";
+constexpr std::string_view kWorkspace = "bulrushmount-workspace";
 constexpr std::string_view kKind = "bulrushmount-kind";
 constexpr std::string_view kFingerprint = "bulrushmount-fingerprint";
 constexpr std::string_view kTimeLeft = "bulrushmount-time-left-us";
@@ -214,8 +214,8 @@
     work.service = ServiceName(field.value);
   } else if (name == kRequestId) {
     work.request_id = RequestId(field.value);
-  } else if (name == kCustomer) {
-    work.customer = CustomerName(field.value);
+  } else if (name == kWorkspace) {
+    work.workspace = WorkspaceName(field.value);
   } else if (name == kKind) {
     work.kind = KindName(field.value);
   } else if (name == kRepeatable) {
@@ -303,7 +303,7 @@
   Add(fields, ":path", work.target);
   Add(fields, kRequestId, work.request_id.value());
   Add(fields, kEntry, std::to_string(work.entry.value()));
-  Add(fields, kCustomer, work.customer.value());
+  Add(fields, kWorkspace, work.workspace.value());
   Add(fields, kKind, work.kind.value());
   Add(fields, kFingerprint, std::to_string(work.fingerprint.value()));
   Add(fields, kTimeLeft, std::to_string(time_left.count()));
--- a/source/core/transport/targets/target_dialect.cc
+++ b/source/core/transport/targets/target_dialect.cc
@@ -21,7 +21,7 @@
                                         RequestHead& head) const {
   const auto milliseconds =
       std::chrono::duration_cast<std::chrono::milliseconds>(time_left).count();
-  head.headers.push_back({"Bulrushmount-Customer", work.customer.value()});
+  head.headers.push_back({"Bulrushmount-Workspace", work.workspace.value()});
   head.headers.push_back({"Bulrushmount-Request-Id", work.request_id.value()});
   head.headers.push_back(
       {"Bulrushmount-Deadline-Ms",
--- a/source/examples/embed_claims.cc
+++ b/source/examples/embed_claims.cc
@@ -53,7 +53,7 @@
 // event loop in between, and calls OnTimer at NextWakeup.
 Claimed Acquire(ClaimBook& book, QueuedTable& table, TimePoint now) {
   ClaimRequest request;
-  request.customer = CustomerName("studio");
+  request.workspace = WorkspaceName("studio");
   request.key = IdempotencyKey("booking-1");
   request.fingerprint = Fingerprint(42);
   request.deadline = now + std::chrono::seconds(2);
--- a/source/process_tests/configuration_test.cc
+++ b/source/process_tests/configuration_test.cc
@@ -19,7 +19,7 @@
 namespace bulrushmount {
 namespace {
 
-constexpr char kContract[] = R"(customer: studio
+constexpr char kContract[] = R"(workspace: studio
 services:
   - name: session-desk
     kinds:
@@ -105,7 +105,7 @@
     HttpAnswer answer;
     EXPECT_TRUE(WaitUntil([&] {
       answer =
-          WriteContract(node, kTestCustomer, ContractOf(version), ETag(node));
+          WriteContract(node, kTestWorkspace, ContractOf(version), ETag(node));
       return answer.status == 200;
     })) << answer.status
         << answer.body;
@@ -154,7 +154,7 @@
                       ContractOf(newest + 2), {{"If-Match", etag}});
     });
     const HttpAnswer mine =
-        WriteContract(0, kTestCustomer, ContractOf(newest + 1), etag);
+        WriteContract(0, kTestWorkspace, ContractOf(newest + 1), etag);
     const HttpAnswer theirs = other.get();
     EXPECT_EQ(std::min(mine.status, theirs.status), 200U) << mine.body;
     EXPECT_EQ(std::max(mine.status, theirs.status), 412U) << theirs.body;
@@ -180,7 +180,7 @@
     const std::string etag = ETag();
     SetPlatformFaults(R"({"lose_write_answers":1})");
     const HttpAnswer answer =
-        WriteContract(0, kTestCustomer, ContractOf(version), etag);
+        WriteContract(0, kTestWorkspace, ContractOf(version), etag);
     SetPlatformFaults(R"({"lose_write_answers":0})");
     if (answer.status == 200) {
       in_force = version;
@@ -207,7 +207,7 @@
 TEST_F(ConfigurationTest, StoreDownJustAfterAcceptance) {
   StartWithVersion(0);
   StartWatching();
-  ASSERT_EQ(WriteContract(1, kTestCustomer, ContractOf(1), ETag()).status,
+  ASSERT_EQ(WriteContract(1, kTestWorkspace, ContractOf(1), ETag()).status,
             200U);
   SetPlatformFaults(R"({"down":true})");
   ExpectInForce(1);
@@ -260,11 +260,11 @@
   at(2).node->Thaw();
   for (std::size_t i = 0; i < size(); ++i) {
     EXPECT_TRUE(WaitUntil([&] {
-      return CallVersion(i, 0).reason() == "unknown-customer";
+      return CallVersion(i, 0).reason() == "unknown-workspace";
     })) << i;
   }
   ExpectOnly(-1, 0);
-  ASSERT_EQ(WriteContract(1, kTestCustomer, ContractOf(1)).status, 200U);
+  ASSERT_EQ(WriteContract(1, kTestWorkspace, ContractOf(1)).status, 200U);
   ExpectInForce(1);
   ExpectOnly(1, 1);
 }
--- a/source/process_tests/flat_memory_test.cc
+++ b/source/process_tests/flat_memory_test.cc
@@ -179,13 +179,13 @@
 // Instance 0 is the entry and has no target; the other one owns the only one.
 class FlatMemoryTest : public FleetTest {
  protected:
-  // Begins what `line` says through the entry; Host and customer are set.
+  // Begins what `line` says through the entry; Host and workspace are set.
   tcp::socket SendHead(const std::string& line, const std::string& fields) {
     tcp::socket socket = ConnectTo(m_context, at(0).caller);
     asio::write(socket, asio::buffer(fmt::format(
                             "{} HTTP/1.1\r\nHost: {}\r\n"
-                            "Bulrushmount-Customer: {}\r\n{}\r\n",
-                            line, kTestService, kTestCustomer, fields)));
+                            "Bulrushmount-Workspace: {}\r\n{}\r\n",
+                            line, kTestService, kTestWorkspace, fields)));
     return socket;
   }
 
--- a/source/process_tests/fleet_fixture.cc
+++ b/source/process_tests/fleet_fixture.cc
@@ -15,7 +15,7 @@
 
 namespace json = boost::json;
 
-constexpr char kContract[] = R"(customer: studio
+constexpr char kContract[] = R"(workspace: studio
 services:
   - name: session-desk
     kinds:
@@ -110,7 +110,7 @@
   for (std::size_t i = 0; i < m_options.instances; ++i) {
     AddInstance();
   }
-  ASSERT_EQ(WriteContract(0, kTestCustomer, m_options.contract).status, 200U)
+  ASSERT_EQ(WriteContract(0, kTestWorkspace, m_options.contract).status, 200U)
       << at(0).node->StdoutText();
   WaitForFleet();
   if (m_options.is_warmed_up) {
@@ -247,7 +247,7 @@
 }
 
 HttpAnswer FleetTest::WriteContract(std::size_t index,
-                                    const std::string& customer,
+                                    const std::string& workspace,
                                     const std::string& yaml,
                                     const std::string& if_match) {
   std::vector<HttpHeader> headers;
@@ -255,7 +255,7 @@
     headers.push_back({"If-Match", if_match});
   }
   HttpAnswer answer = HttpCall(at(index).operators, "PUT",
-                               "/contracts/" + customer, yaml, headers);
+                               "/contracts/" + workspace, yaml, headers);
   if (answer.status == 200) {
     const json::value body = json::parse(answer.body);
     m_revision =
@@ -271,7 +271,7 @@
   answer.request_id = fmt::format("call-{}", ++m_calls);
   std::vector<HttpHeader> headers{
       {"Host", kTestService},
-      {"Bulrushmount-Customer", request.customer},
+      {"Bulrushmount-Workspace", request.workspace},
       {"Bulrushmount-Request-Id", answer.request_id}};
   if (!request.key.empty()) {
     headers.push_back({"Idempotency-Key", request.key});
--- a/source/process_tests/fleet_fixture.h
+++ b/source/process_tests/fleet_fixture.h
@@ -23,7 +23,7 @@
 
 namespace bulrushmount {
 
-inline constexpr char kTestCustomer[] = "studio";
+inline constexpr char kTestWorkspace[] = "studio";
 inline constexpr char kTestService[] = "session-desk";
 
 // GET anything (`read`, repeatable) and POST /book (`book`, needs a key), POST
@@ -71,7 +71,7 @@
   std::string path = "/read";
   std::string body;
   std::string key;
-  std::string customer = kTestCustomer;
+  std::string workspace = kTestWorkspace;
   std::optional<std::uint64_t> deadline_ms;
 };
 
@@ -110,8 +110,8 @@
   // That all nodes that run are ready, hold the newest revision written here,
   // and see exactly the targets that run beside a node as serving.
   void WaitForFleet();
-  // Calls every entry until the customer's limiter has lent each of them what
-  // this test's calls need: else the first calls of a customer are refused.
+  // Calls every entry until the workspace's limiter has lent each of them what
+  // this test's calls need: else the first calls of a workspace are refused.
   void WarmUp();
   // The target beside the node withdraws, and is then ended: the node is an
   // entry only.
@@ -121,7 +121,7 @@
 
   // Writes a contract through a node and remembers the revision.
   HttpAnswer WriteContract(std::size_t index,
-                           const std::string& customer,
+                           const std::string& workspace,
                            const std::string& yaml,
                            const std::string& if_match = {});
 
--- a/source/process_tests/hostile_input_test.cc
+++ b/source/process_tests/hostile_input_test.cc
@@ -42,8 +42,8 @@
 
 std::string Head(const std::string& line, const std::string& fields) {
   return fmt::format(
-      "{} HTTP/1.1\r\nHost: {}\r\nBulrushmount-Customer: {}\r\n{}\r\n", line,
-      kTestService, kTestCustomer, fields);
+      "{} HTTP/1.1\r\nHost: {}\r\nBulrushmount-Workspace: {}\r\n{}\r\n", line,
+      kTestService, kTestWorkspace, fields);
 }
 
 class HostileInputTest : public FleetTest,
@@ -143,11 +143,11 @@
         HostileCase{"TruncatedHead", &Instance::caller,
                     [] { return std::string("GET /read HTTP/1.1\r\nHo"); },
                     Reaction::kNone},
-        HostileCase{"UnknownCustomer", &Instance::caller,
+        HostileCase{"UnknownWorkspace", &Instance::caller,
                     [] {
                       return std::string(
                           "GET /read HTTP/1.1\r\nHost: session-desk\r\n"
-                          "Bulrushmount-Customer: nobody\r\n\r\n");
+                          "Bulrushmount-Workspace: nobody\r\n\r\n");
                     },
                     Reaction::kNotRun},
         HostileCase{"BadDeadline", &Instance::caller,
--- a/source/process_tests/leaving_test.cc
+++ b/source/process_tests/leaving_test.cc
@@ -133,9 +133,9 @@
                           const std::string& path,
                           std::size_t body_size) {
     return fmt::format(
-        "{} {} HTTP/1.1\r\nHost: {}\r\nBulrushmount-Customer: {}\r\n"
+        "{} {} HTTP/1.1\r\nHost: {}\r\nBulrushmount-Workspace: {}\r\n"
         "Content-Length: {}\r\n\r\n",
-        method, path, kTestService, kTestCustomer, body_size);
+        method, path, kTestService, kTestWorkspace, body_size);
   }
 
   void ExpectCleanExit(ChildProcess& process) {
--- a/source/process_tests/measuring_test.cc
+++ b/source/process_tests/measuring_test.cc
@@ -25,7 +25,7 @@
 
 std::string Budget(std::size_t probes_per_second) {
   return fmt::format(
-      "customer: measurement\nbudgets:\n  - service: {}\n"
+      "workspace: measurement\nbudgets:\n  - service: {}\n"
       "    probes_per_second: {}\n    probes_in_flight: 2\n",
       kTestService, probes_per_second);
 }
--- a/source/process_tests/operator_pages_test.cc
+++ b/source/process_tests/operator_pages_test.cc
@@ -82,7 +82,7 @@
   std::ofstream(file) << contract;
   Ctl({"contract", "write", file, "--wait"});
   CallRequest request;
-  request.customer = "releases";
+  request.workspace = "releases";
   for (std::size_t node = 0; node < size(); ++node) {
     EXPECT_EQ(Status(node).at("revision").to_number<int>(), 2);
     // Null until the table or a peer that has read it was heard.
@@ -133,7 +133,7 @@
   const HttpAnswer answer =
       HttpCall(at(1).caller, "GET", "/bulrushmount/burn", {},
                {{"Host", kTestService},
-                {"Bulrushmount-Customer", kTestCustomer},
+                {"Bulrushmount-Workspace", kTestWorkspace},
                 {"Bulrushmount-Control", "burn"}});
   EXPECT_EQ(answer.Header("Bulrushmount-Outcome"), "answered");
   EXPECT_THAT(answer.body, HasSubstr("digest"));
--- a/source/process_tests/pipeline_test.cc
+++ b/source/process_tests/pipeline_test.cc
@@ -27,9 +27,9 @@
     std::string requests;
     for (std::size_t n = 0; n < kRequests; ++n) {
       requests += fmt::format(
-          "GET {}?p={} HTTP/1.1\r\nHost: {}\r\nBulrushmount-Customer: {}\r\n"
+          "GET {}?p={} HTTP/1.1\r\nHost: {}\r\nBulrushmount-Workspace: {}\r\n"
           "\r\n",
-          path, n, kTestService, kTestCustomer);
+          path, n, kTestService, kTestWorkspace);
     }
     return requests;
   }
--- a/source/process_tests/timely_test.cc
+++ b/source/process_tests/timely_test.cc
@@ -138,8 +138,8 @@
   RemoveTarget(0);
   RawCaller caller(at(0).caller);
   ASSERT_TRUE(caller.Send(fmt::format(
-      "GET {} HTTP/1.1\r\nHost: {}\r\nBulrushmount-Customer: {}\r\n\r\n",
-      GetParam().path, kTestService, kTestCustomer)));
+      "GET {} HTTP/1.1\r\nHost: {}\r\nBulrushmount-Workspace: {}\r\n\r\n",
+      GetParam().path, kTestService, kTestWorkspace)));
   ASSERT_TRUE(caller.ReadUntil(200)) << caller.bytes();
   const std::size_t owner = WaitForRun(GetParam().path);
   if (GetParam().is_owner_stopped) {
--- a/source/process_tests/whole_answer_test.cc
+++ b/source/process_tests/whole_answer_test.cc
@@ -24,9 +24,9 @@
                    const std::string& path,
                    std::size_t body_size = 0) {
   return fmt::format(
-      "{} {} HTTP/1.1\r\nHost: {}\r\nBulrushmount-Customer: {}\r\n"
+      "{} {} HTTP/1.1\r\nHost: {}\r\nBulrushmount-Workspace: {}\r\n"
       "Content-Length: {}\r\n\r\n",
-      method, path, kTestService, kTestCustomer, body_size);
+      method, path, kTestService, kTestWorkspace, body_size);
 }
 
 class WholeAnswerTest : public FleetTest {
@@ -71,8 +71,8 @@
             {"--entries",
              fmt::format("{},{},{}", ToString(at(0).caller),
                          ToString(at(1).caller), ToString(at(2).caller)),
-             "--customer",
-             kTestCustomer,
+             "--workspace",
+             kTestWorkspace,
              "--service",
              kTestService,
              "--rate",
--- a/source/stand_ins/caller_load.cc
+++ b/source/stand_ins/caller_load.cc
@@ -33,7 +33,7 @@
   };
   auto add = options.add_options();
   add("entries", "IP:PORT,...", cxxopts::value<std::vector<std::string>>());
-  add("customer", "Name", text(""));
+  add("workspace", "Name", text(""));
   add("service", "Name", text(""));
   add("rate", "Requests a second",
       cxxopts::value<double>()->default_value("100"));
@@ -88,7 +88,7 @@
   };
   LoadOptions options;
   options.entries = ReadEntries(parsed);
-  options.customer = parsed["customer"].as<std::string>();
+  options.workspace = parsed["workspace"].as<std::string>();
   options.service = parsed["service"].as<std::string>();
   options.rate = parsed["rate"].as<double>();
   options.duration = FromSeconds(parsed["duration-s"].as<double>());
--- a/source/stand_ins/load_client.cc
+++ b/source/stand_ins/load_client.cc
@@ -142,7 +142,7 @@
       m_request.set("Bulrushmount-Request-Id",
                     fmt::format("{}-{}", options.seed, call.number));
     } else {
-      m_request.set("Bulrushmount-Customer", options.customer);
+      m_request.set("Bulrushmount-Workspace", options.workspace);
     }
     if (options.deadline_ms) {
       m_request.set("Bulrushmount-Deadline-Ms",
--- a/source/stand_ins/load_plan.h
+++ b/source/stand_ins/load_plan.h
@@ -35,7 +35,7 @@
 
 struct LoadOptions {
   std::vector<Endpoint> entries;
-  std::string customer;
+  std::string workspace;
   std::string service;
   // Requests a second, bursts not counted.
   double rate = 100.0;
--- a/source/unit_tests/bulrushmountctl/ctl_test.cc
+++ b/source/unit_tests/bulrushmountctl/ctl_test.cc
@@ -139,11 +139,11 @@
         UsageCase{"Check",
                   {"contract", "check", kStudio},
                   CtlExit::kDone,
-                  "no faults, customer studio"},
+                  "no faults, workspace studio"},
         UsageCase{"CheckFaults",
                   {"contract", "check", BULRUSHMOUNT_EXAMPLES "/node.yaml"},
                   CtlExit::kUsage,
-                  "node.yaml:3:1: missing key 'customer'"},
+                  "node.yaml:3:1: missing key 'workspace'"},
         UsageCase{"NoFile",
                   {"contract", "check", "no-such-file.yaml"},
                   CtlExit::kUsage,
@@ -224,10 +224,10 @@
 TEST(CtlTest, ShowsTheVersionAndSendsTheToken) {
   const std::string token_file = testing::TempDir() + "/ctl_test_token";
   std::ofstream(token_file) << "secret\n";
-  ScriptedNode node({{200, "customer: a\n", "\"5\""}});
+  ScriptedNode node({{200, "workspace: a\n", "\"5\""}});
   const CtlResult result = Ctl({"--node", node.address(), "--token-file",
                                 token_file, "contract", "show", "a"});
-  EXPECT_EQ(result.out, "# version: 5\ncustomer: a\n");
+  EXPECT_EQ(result.out, "# version: 5\nworkspace: a\n");
   EXPECT_THAT(node.Requests(), ElementsAre("GET /contracts/a  Bearer secret"));
 }
 
--- a/source/unit_tests/core/admission/admission_queue_test.cc
+++ b/source/unit_tests/core/admission/admission_queue_test.cc
@@ -25,7 +25,7 @@
         continue;
       const double tag = TagOf(work);
       m_virtual_time = std::max(m_virtual_time, tag);
-      m_finish[work.customer.value()] = tag + work.weight / work.share;
+      m_finish[work.workspace.value()] = tag + work.weight / work.share;
       Remove(work.work);
       return work.work;
     }
@@ -51,14 +51,14 @@
 
  private:
   double TagOf(const QueuedWork& work) const {
-    const auto finish = m_finish.find(work.customer.value());
+    const auto finish = m_finish.find(work.workspace.value());
     double tag = m_virtual_time;
     if (finish != m_finish.end())
       tag = std::max(tag, finish->second);
     for (const QueuedWork& other : m_works) {
       const bool is_before = std::tie(other.deadline, other.work.value()) <
                              std::tie(work.deadline, work.work.value());
-      if (other.customer == work.customer && is_before)
+      if (other.workspace == work.workspace && is_before)
         tag += other.weight / other.share;
     }
     return tag;
@@ -71,13 +71,13 @@
 
 // Weights and shares are powers of two, so that sums are exact in any order.
 QueuedWork GenerateWork(std::uint64_t id) {
-  const int customer = *rc::gen::inRange(0, 4);
+  const int workspace = *rc::gen::inRange(0, 4);
   QueuedWork work;
   work.work = WorkId(id);
-  work.customer =
-      CustomerName(std::string(1, static_cast<char>('a' + customer)));
+  work.workspace =
+      WorkspaceName(std::string(1, static_cast<char>('a' + workspace)));
   work.weight = 1 << *rc::gen::inRange(0, 4);
-  work.share = 1 << customer;
+  work.share = 1 << workspace;
   work.deadline = TimePoint(Duration(*rc::gen::inRange(0, 50)));
   work.is_suspect = *rc::gen::inRange(0, 8) == 0;
   return work;
@@ -124,21 +124,21 @@
 struct ShareCase {
   double heavy_share;
   double heavy_weight;
-  // Starts of the heavy customer for each start of the light one.
+  // Starts of the heavy workspace for each start of the light one.
   double expected_ratio;
 };
 
 class AdmissionQueueShareTest : public testing::TestWithParam<ShareCase> {};
 
-TEST_P(AdmissionQueueShareTest, BackloggedCustomersStartByShare) {
+TEST_P(AdmissionQueueShareTest, BackloggedWorkspacesStartByShare) {
   AdmissionQueue queue;
   std::map<std::string, int> started;
   std::uint64_t next_id = 0;
-  const auto push = [&](const std::string& customer, double weight,
+  const auto push = [&](const std::string& workspace, double weight,
                         double share) {
     QueuedWork work;
     work.work = WorkId(++next_id);
-    work.customer = CustomerName(customer);
+    work.workspace = WorkspaceName(workspace);
     work.weight = weight;
     work.share = share;
     work.deadline = TimePoint(Duration(next_id));
@@ -151,8 +151,8 @@
   }
   for (int step = 0; step < 1000; ++step) {
     const auto work = queue.PopFirst(true);
-    ++started[work->customer.value()];
-    push(work->customer.value(), work->weight, work->share);
+    ++started[work->workspace.value()];
+    push(work->workspace.value(), work->weight, work->share);
   }
   const double ratio = static_cast<double>(started["heavy"]) / started["light"];
   EXPECT_NEAR(ratio, row.expected_ratio, 0.05 * row.expected_ratio);
--- a/source/unit_tests/core/admission/admission_test.cc
+++ b/source/unit_tests/core/admission/admission_test.cc
@@ -21,9 +21,9 @@
 
 constexpr std::uint32_t kSlots = 4;
 
-AdmissionRequest RequestOf(const std::string& customer, Duration time_left) {
+AdmissionRequest RequestOf(const std::string& workspace, Duration time_left) {
   AdmissionRequest request;
-  request.customer = CustomerName(customer);
+  request.workspace = WorkspaceName(workspace);
   request.kind = KindName("browse");
   request.time_left = time_left;
   return request;
@@ -38,9 +38,9 @@
     m_admission.SetTarget(m_now, kSlots, 220);
   }
 
-  AdmissionOutput Arrive(const std::string& customer, Duration time_left) {
+  AdmissionOutput Arrive(const std::string& workspace, Duration time_left) {
     auto output = m_admission.Arrive(m_now, WorkId(++m_last_id),
-                                     RequestOf(customer, time_left));
+                                     RequestOf(workspace, time_left));
     Note(output);
     return output;
   }
@@ -56,9 +56,9 @@
   }
 
   // Occupies all slots with works 1 to kSlots.
-  void FillSlots(const std::string& customer) {
+  void FillSlots(const std::string& workspace) {
     for (std::uint32_t slot = 0; slot < kSlots; ++slot)
-      ASSERT_EQ(Arrive(customer, 1s).start.size(), 1U);
+      ASSERT_EQ(Arrive(workspace, 1s).start.size(), 1U);
   }
 
   Admission m_admission;
@@ -220,8 +220,8 @@
   EXPECT_EQ(refused, 0U) << "of " << m_last_id;
 }
 
-// Symptom: one customer's flood makes another's requests fail.
-// Sequence: a flood fills slots and queue; another customer's request comes.
+// Symptom: one workspace's flood makes another's requests fail.
+// Sequence: a flood fills slots and queue; another workspace's request comes.
 // Cause: a full queue that refuses the newcomer, whoever it is.
 class AdmissionShortQueueTest : public AdmissionTest {
  protected:
@@ -310,7 +310,7 @@
       const Entry entry = m_waiting.at(work);
       if (entry.request.is_suspect)
         RC_ASSERT(!IsSuspectRunning());
-      RC_ASSERT(IsEarliestOfItsCustomer(entry));
+      RC_ASSERT(IsEarliestOfItsWorkspace(entry));
       m_running[work] = entry;
       m_waiting.erase(work);
       RC_ASSERT(m_running.size() <= limit);
@@ -347,13 +347,13 @@
         [](const auto& item) { return item.second.request.is_suspect; });
   }
 
-  bool IsEarliestOfItsCustomer(const Entry& entry) const {
+  bool IsEarliestOfItsWorkspace(const Entry& entry) const {
     return std::none_of(
         m_waiting.begin(), m_waiting.end(), [&](const auto& item) {
           const Entry& other = item.second;
           const bool is_blocked =
               other.request.is_suspect && IsSuspectRunning();
-          return other.request.customer == entry.request.customer &&
+          return other.request.workspace == entry.request.workspace &&
                  !is_blocked && other.deadline < entry.deadline;
         });
   }
@@ -363,13 +363,13 @@
 };
 
 AdmissionRequest GenerateRequest() {
-  const int customer = *rc::gen::inRange(0, 3);
+  const int workspace = *rc::gen::inRange(0, 3);
   AdmissionRequest request =
-      RequestOf(std::string(1, static_cast<char>('a' + customer)),
+      RequestOf(std::string(1, static_cast<char>('a' + workspace)),
                 std::chrono::milliseconds(*rc::gen::inRange(-5, 300)));
   request.kind = KindName(*rc::gen::element<std::string>("browse", "book"));
   request.weight = *rc::gen::inRange(1, 4);
-  request.share = customer + 1;
+  request.share = workspace + 1;
   request.is_last_attempt = *rc::gen::arbitrary<bool>();
   request.is_suspect = *rc::gen::inRange(0, 10) == 0;
   return request;
--- a/source/unit_tests/core/claims/claim_book_test.cc
+++ b/source/unit_tests/core/claims/claim_book_test.cc
@@ -360,7 +360,7 @@
 TEST(ClaimBookTest, UnreadableRowCountsAsOutcomeUnknown) {
   ClaimWorld world(1);
   const std::string key =
-      detail::ClaimRowKey(CustomerName("publisher"), IdempotencyKey("k"));
+      detail::ClaimRowKey(WorkspaceName("publisher"), IdempotencyKey("k"));
   world.table().Apply(TableTransact{{}, {{key, "\xff\xff"}}, {}});
   const std::size_t sent = world.Send(0, "k");
   world.DrainAll();
--- a/source/unit_tests/core/claims/claim_history_test.cc
+++ b/source/unit_tests/core/claims/claim_history_test.cc
@@ -148,9 +148,9 @@
   } while (world.PassToNextWakeup() || world.waiting() > 0);
 }
 
-// Symptom: a customer is charged twice. Sequence: any mix of repeats at several
-// nodes, lost answers, writes that land late, crashes, freezes and outages.
-// Cause: a claim was granted while another could still be dispatched.
+// Symptom: a workspace is charged twice. Sequence: any mix of repeats at
+// several nodes, lost answers, writes that land late, crashes, freezes and
+// outages. Cause: a claim was granted while another could still be dispatched.
 RC_GTEST_PROP(ClaimHistory, RunsAtMostOnce, ()) {
   ClaimWorld world(kNodes);
   for (const Step& step : *AnyHistory(true))
--- a/source/unit_tests/core/claims/claim_row_test.cc
+++ b/source/unit_tests/core/claims/claim_row_test.cc
@@ -23,21 +23,21 @@
 
 struct KeyPair {
   const char* name;
-  const char* customer;
+  const char* workspace;
   const char* key;
-  const char* other_customer;
+  const char* other_workspace;
   const char* other_key;
 };
 
 class RowKeyTest : public testing::TestWithParam<KeyPair> {};
 
-// Symptom: a customer's booking is refused for another one's. Cause: two keys
+// Symptom: a workspace's booking is refused for another one's. Cause: two keys
 // shared a row.
 TEST_P(RowKeyTest, DiffersForDifferentKeys) {
   const KeyPair& pair = GetParam();
-  EXPECT_NE(detail::ClaimRowKey(CustomerName(pair.customer),
+  EXPECT_NE(detail::ClaimRowKey(WorkspaceName(pair.workspace),
                                 IdempotencyKey(pair.key)),
-            detail::ClaimRowKey(CustomerName(pair.other_customer),
+            detail::ClaimRowKey(WorkspaceName(pair.other_workspace),
                                 IdempotencyKey(pair.other_key)));
 }
 
@@ -45,7 +45,7 @@
     Claims,
     RowKeyTest,
     testing::Values(KeyPair{"Key", "a", "k", "a", "l"},
-                    KeyPair{"Customer", "a", "k", "b", "k"},
+                    KeyPair{"Workspace", "a", "k", "b", "k"},
                     KeyPair{"Slash", "a/b", "c", "a", "b/c"},
                     KeyPair{"Escape", "a", "%2F", "a", "/"},
                     KeyPair{"Case", "a", "K", "a", "k"},
--- a/source/unit_tests/core/claims/claim_world.cc
+++ b/source/unit_tests/core/claims/claim_world.cc
@@ -62,7 +62,7 @@
   m_sends.push_back({node, key, {}, {}, 0, false});
   if (m_nodes.at(node).is_frozen)
     return index;
-  const ClaimRequest request{CustomerName("publisher"), IdempotencyKey(key),
+  const ClaimRequest request{WorkspaceName("publisher"), IdempotencyKey(key),
                              Fingerprint(fingerprint), m_now + kCallDeadline,
                              kRetention};
   const ClaimId claim = book(node).Acquire(
--- a/source/unit_tests/core/contracts/config_fleet.cc
+++ b/source/unit_tests/core/contracts/config_fleet.cc
@@ -50,14 +50,14 @@
   const RevisionRecord record = *DecodeRevisionRecord(rows.front().value);
   if (record.revision.value() == m_history.size())
     return;
-  const std::string key = ContractRowKey(record.recent.back().customer);
+  const std::string key = ContractRowKey(record.recent.back().workspace);
   const auto changed = m_fake.table().Apply(TableGet{key}).rows;
   m_history.push_back(*DecodeChange(changed.front().value));
 }
 
-RowVersion HistoryTable::VersionOf(const std::string& customer) {
+RowVersion HistoryTable::VersionOf(const std::string& workspace) {
   const auto rows =
-      m_fake.table().Apply(TableGet{kContractRowPrefix + customer}).rows;
+      m_fake.table().Apply(TableGet{kContractRowPrefix + workspace}).rows;
   const bool exists =
       !rows.empty() && !DecodeChange(rows.front().value)->is_withdrawn;
   return exists ? rows.front().version : kNoRow;
@@ -66,9 +66,9 @@
 ConfigBatch HistoryTable::Replay(Revision to) const {
   std::map<std::string, ConfigChange> last;
   for (std::size_t i = 0; i < to.value(); ++i)
-    last[m_history[i].customer.value()] = m_history[i];
+    last[m_history[i].workspace.value()] = m_history[i];
   ConfigBatch batch{Revision(0), to, {}};
-  for (const auto& [customer, change] : last)
+  for (const auto& [workspace, change] : last)
     batch.changes.push_back(change);
   std::sort(batch.changes.begin(), batch.changes.end(),
             [](const ConfigChange& left, const ConfigChange& right) {
@@ -123,14 +123,14 @@
 }
 
 void ConfigFleet::Write(std::size_t index,
-                        const std::string& customer,
+                        const std::string& workspace,
                         double rate,
                         bool is_withdrawal) {
-  const RowVersion version = table.VersionOf(customer);
+  const RowVersion version = table.VersionOf(workspace);
   nodes[index]->writer->Handle(now,
                                is_withdrawal
-                                   ? WithdrawRequest(customer, version)
-                                   : WriteRequest(customer, rate, version),
+                                   ? WithdrawRequest(workspace, version)
+                                   : WriteRequest(workspace, rate, version),
                                [this](TimePoint, const AnswerOperator& answer) {
                                  accepted += answer.status == 200 ? 1 : 0;
                                });
--- a/source/unit_tests/core/contracts/config_fleet.h
+++ b/source/unit_tests/core/contracts/config_fleet.h
@@ -36,8 +36,8 @@
   // What the configuration `to` consists of, replayed change by change.
   ConfigBatch Replay(Revision to) const;
   Revision revision() const { return Revision(m_history.size()); }
-  // Of the customer's contract; kNoRow if there is none or it is withdrawn.
-  RowVersion VersionOf(const std::string& customer);
+  // Of the workspace's contract; kNoRow if there is none or it is withdrawn.
+  RowVersion VersionOf(const std::string& workspace);
 
   FakeTableService& fake() { return m_fake; }
 
@@ -84,7 +84,7 @@
 
   void Introduce(std::size_t hearer, std::size_t told);
   void Write(std::size_t index,
-             const std::string& customer,
+             const std::string& workspace,
              double rate,
              bool is_withdrawal = false);
 
--- a/source/unit_tests/core/contracts/config_sync_test.cc
+++ b/source/unit_tests/core/contracts/config_sync_test.cc
@@ -54,7 +54,7 @@
   IntroduceAll(fleet);
   // Larger than the chunks of one request.
   for (int i = 0; i < 70; ++i) {
-    fleet.Write(0, "customer" + std::to_string(i), 1);
+    fleet.Write(0, "workspace" + std::to_string(i), 1);
     fleet.Advance(milliseconds(1));
     fleet.Advance(milliseconds(1));
     fleet.Advance(milliseconds(1));
--- a/source/unit_tests/core/contracts/config_table_reader_test.cc
+++ b/source/unit_tests/core/contracts/config_table_reader_test.cc
@@ -22,9 +22,9 @@
   ContractWriter writer(ContractWriterSettings{}, table, random,
                         [](TimePoint, const ConfigChange&) {});
   const auto write = [&] {
-    const auto customer = *rc::gen::element<std::string>("a", "b", "c", "d");
+    const auto workspace = *rc::gen::element<std::string>("a", "b", "c", "d");
     writer.Handle(TimePoint{},
-                  WriteRequest(customer, 1, table.VersionOf(customer)),
+                  WriteRequest(workspace, 1, table.VersionOf(workspace)),
                   [](TimePoint, const AnswerOperator&) {});
   };
   for (int i = *rc::gen::inRange(1, 6); i > 0; --i) {
--- a/source/unit_tests/core/contracts/contract_store_test.cc
+++ b/source/unit_tests/core/contracts/contract_store_test.cc
@@ -14,12 +14,12 @@
 namespace bulrushmount {
 namespace {
 
-ConfigChange Written(const std::string& customer,
+ConfigChange Written(const std::string& workspace,
                      std::uint64_t revision,
                      double rate) {
-  return ConfigChange{CustomerName(customer), Revision(revision),
+  return ConfigChange{WorkspaceName(workspace), Revision(revision),
                       ChangeId(revision), false,
-                      MakeContractText(customer, rate)};
+                      MakeContractText(workspace, rate)};
 }
 
 ConfigBatch Snapshot(std::vector<ConfigChange> changes) {
@@ -29,7 +29,7 @@
 
 struct MatchCase {
   std::string name;
-  std::string customer;
+  std::string workspace;
   std::string service;
   std::string method;
   std::string target;
@@ -47,17 +47,17 @@
 
 TEST_P(MatchKindTest, FindsTheFirstKindOrSaysWhatIsUnknown) {
   ContractStore store;
-  ConfigChange gone{CustomerName("gone"), Revision(2), ChangeId(2), true, ""};
-  ConfigChange odd{CustomerName("odd"), Revision(3), ChangeId(3), false,
+  ConfigChange gone{WorkspaceName("gone"), Revision(2), ChangeId(2), true, ""};
+  ConfigChange odd{WorkspaceName("odd"), Revision(3), ChangeId(3), false,
                    "from: the future"};
-  ConfigChange budget{CustomerName(kMeasurementCustomer), Revision(4),
+  ConfigChange budget{WorkspaceName(kMeasurementWorkspace), Revision(4),
                       ChangeId(4), false,
-                      "customer: measurement\nbudgets:\n  - {service: desk, "
+                      "workspace: measurement\nbudgets:\n  - {service: desk, "
                       "probes_per_second: 1, probes_in_flight: 1}\n"};
   store.Apply(TimePoint{},
               Snapshot({Written("studio", 1, 10), gone, odd, budget}));
   const MatchCase& test = GetParam();
-  EXPECT_EQ(Describe(store.MatchKind(CustomerName(test.customer),
+  EXPECT_EQ(Describe(store.MatchKind(WorkspaceName(test.workspace),
                                      ServiceName(test.service), test.method,
                                      test.target)),
             test.expected);
@@ -75,33 +75,33 @@
         MatchCase{"NoPath", "studio", "desk", "GET", "/x", "unknown-kind"},
         MatchCase{"NoService", "studio", "vault", "GET", "/scripts",
                   "unknown-service"},
-        MatchCase{"NoCustomer", "nobody", "desk", "GET", "/scripts",
-                  "unknown-customer"},
+        MatchCase{"NoWorkspace", "nobody", "desk", "GET", "/scripts",
+                  "unknown-workspace"},
         MatchCase{"Withdrawn", "gone", "desk", "GET", "/scripts",
-                  "unknown-customer"},
+                  "unknown-workspace"},
         MatchCase{"Measurement", "measurement", "desk", "GET", "/scripts",
-                  "unknown-customer"},
+                  "unknown-workspace"},
         MatchCase{"Unreadable", "odd", "desk", "GET", "/scripts",
                   "configuration-unknown"}),
     [](const auto& info) { return info.param.name; });
 
 TEST(ContractStoreTest, KnowsNothingAtFirst) {
   ContractStore store;
-  EXPECT_EQ(Describe(store.MatchKind(CustomerName("a"), ServiceName("b"), "GET",
-                                     "/")),
+  EXPECT_EQ(Describe(store.MatchKind(WorkspaceName("a"), ServiceName("b"),
+                                     "GET", "/")),
             "configuration-unknown");
   store.SetKnownEmpty();
-  EXPECT_EQ(Describe(store.MatchKind(CustomerName("a"), ServiceName("b"), "GET",
-                                     "/")),
-            "unknown-customer");
+  EXPECT_EQ(Describe(store.MatchKind(WorkspaceName("a"), ServiceName("b"),
+                                     "GET", "/")),
+            "unknown-workspace");
 }
 
 class RecordingListener : public ContractListener {
  public:
   void OnContractChanged(TimePoint now,
-                         const CustomerName& customer,
+                         const WorkspaceName& workspace,
                          const Contract* contract) override {
-    seen.push_back(customer.value() + (contract != nullptr ? "+" : "-"));
+    seen.push_back(workspace.value() + (contract != nullptr ? "+" : "-"));
   }
 
   std::vector<std::string> seen;
@@ -116,7 +116,7 @@
       TimePoint{},
       ConfigBatch{Revision(2),
                   Revision(3),
-                  {{CustomerName("a"), Revision(3), ChangeId(3), true, ""}}});
+                  {{WorkspaceName("a"), Revision(3), ChangeId(3), true, ""}}});
   EXPECT_EQ(listener.seen, (std::vector<std::string>{"a+", "b+", "a-"}));
 }
 
@@ -130,12 +130,12 @@
   const ConfigBatch withdrawal{
       Revision(1),
       Revision(2),
-      {{CustomerName("a"), Revision(2), ChangeId(2), true, ""}}};
+      {{WorkspaceName("a"), Revision(2), ChangeId(2), true, ""}}};
   EXPECT_EQ(store.Apply(TimePoint{}, withdrawal), ApplyResult::kGap);
   EXPECT_EQ(store.Apply(TimePoint{}, first), ApplyResult::kApplied);
   EXPECT_EQ(store.Apply(TimePoint{}, withdrawal), ApplyResult::kApplied);
   EXPECT_EQ(store.Apply(TimePoint{}, first), ApplyResult::kStale);
-  EXPECT_EQ(store.Find(CustomerName("a")), nullptr);
+  EXPECT_EQ(store.Find(WorkspaceName("a")), nullptr);
   EXPECT_EQ(store.revision(), Revision(2));
 }
 
@@ -145,20 +145,20 @@
   const auto length = *rc::gen::inRange(1, 12);
   std::vector<ConfigChange> history;
   for (int i = 1; i <= length; ++i) {
-    const auto customer = *rc::gen::element<std::string>("a", "b", "c");
-    ConfigChange change = Written(customer, i, i);
+    const auto workspace = *rc::gen::element<std::string>("a", "b", "c");
+    ConfigChange change = Written(workspace, i, i);
     if (*rc::gen::inRange(0, 3) == 0)
-      change = {change.customer, change.revision, change.change_id, true, ""};
+      change = {change.workspace, change.revision, change.change_id, true, ""};
     history.push_back(change);
   }
   const auto replay = [&](std::uint64_t since, std::uint64_t to) {
     std::map<std::string, ConfigChange> last;
     for (const ConfigChange& change : history) {
       if (change.revision.value() <= to)
-        last[change.customer.value()] = change;
+        last[change.workspace.value()] = change;
     }
     ConfigBatch batch{Revision(since), Revision(to), {}};
-    for (const auto& [customer, change] : last) {
+    for (const auto& [workspace, change] : last) {
       if (change.revision.value() > since)
         batch.changes.push_back(change);
     }
--- a/source/unit_tests/core/contracts/contract_texts.h
+++ b/source/unit_tests/core/contracts/contract_texts.h
@@ -13,8 +13,8 @@
 
 // Service `desk` with the kinds `browse` (GET /scripts) and `other` (any
 // method, /scripts). `rate` tells one version from another.
-inline std::string MakeContractText(const std::string& customer, double rate) {
-  return fmt::format(R"(customer: {}
+inline std::string MakeContractText(const std::string& workspace, double rate) {
+  return fmt::format(R"(workspace: {}
 services:
   - name: desk
     kinds:
@@ -25,20 +25,20 @@
 limits: {{units_per_second: {}, burst_units: 20, in_flight: 5}}
 key_retention: 24h
 )",
-                     customer, rate);
+                     workspace, rate);
 }
 
-inline OperatorRequested WriteRequest(const std::string& customer,
+inline OperatorRequested WriteRequest(const std::string& workspace,
                                       double rate,
                                       RowVersion if_version = kNoRow) {
-  return {OperatorRequestId(1), OperatorVerb::kWrite, CustomerName(customer),
-          MakeContractText(customer, rate), if_version};
+  return {OperatorRequestId(1), OperatorVerb::kWrite, WorkspaceName(workspace),
+          MakeContractText(workspace, rate), if_version};
 }
 
-inline OperatorRequested WithdrawRequest(const std::string& customer,
+inline OperatorRequested WithdrawRequest(const std::string& workspace,
                                          RowVersion if_version) {
-  return {OperatorRequestId(1), OperatorVerb::kWithdraw, CustomerName(customer),
-          "", if_version};
+  return {OperatorRequestId(1), OperatorVerb::kWithdraw,
+          WorkspaceName(workspace), "", if_version};
 }
 
 }  // namespace bulrushmount
--- a/source/unit_tests/core/contracts/contract_writer_test.cc
+++ b/source/unit_tests/core/contracts/contract_writer_test.cc
@@ -38,17 +38,17 @@
     return answer;
   }
 
-  AnswerOperator Write(const std::string& customer,
+  AnswerOperator Write(const std::string& workspace,
                        double rate,
                        RowVersion if_version = kNoRow) {
-    return Ask(WriteRequest(customer, rate, if_version));
+    return Ask(WriteRequest(workspace, rate, if_version));
   }
-  AnswerOperator Withdraw(const std::string& customer, RowVersion if_version) {
-    return Ask(WithdrawRequest(customer, if_version));
+  AnswerOperator Withdraw(const std::string& workspace, RowVersion if_version) {
+    return Ask(WithdrawRequest(workspace, if_version));
   }
-  AnswerOperator Show(const std::string& customer) {
+  AnswerOperator Show(const std::string& workspace) {
     return Ask({OperatorRequestId(1), OperatorVerb::kShow,
-                CustomerName(customer), "", kNoRow});
+                WorkspaceName(workspace), "", kNoRow});
   }
 
   TimePoint now;
@@ -72,7 +72,7 @@
   EXPECT_THAT(changed.body, HasSubstr("\"revision\":2"));
   const AnswerOperator list =
       Ask({OperatorRequestId(1), OperatorVerb::kList, {}, "", kNoRow});
-  EXPECT_THAT(list.body, HasSubstr("\"customer\":\"a\""));
+  EXPECT_THAT(list.body, HasSubstr("\"workspace\":\"a\""));
   EXPECT_EQ(Withdraw("a", changed.version).status, 200);
   EXPECT_EQ(Show("a").status, 404);
   EXPECT_EQ(Withdraw("a", changed.version).status, 404);
@@ -95,8 +95,8 @@
 
 TEST_F(ContractWriterTest, ListsAllFaultsOfTheText) {
   const AnswerOperator answer =
-      Ask({OperatorRequestId(7), OperatorVerb::kWrite, CustomerName("a"),
-           "customer: a\nfoo: 1\n", kNoRow});
+      Ask({OperatorRequestId(7), OperatorVerb::kWrite, WorkspaceName("a"),
+           "workspace: a\nfoo: 1\n", kNoRow});
   EXPECT_EQ(answer.status, 400);
   EXPECT_EQ(answer.request, OperatorRequestId(7));
   EXPECT_THAT(answer.body, HasSubstr("unknown key 'foo'"));
@@ -104,9 +104,9 @@
   EXPECT_EQ(table.reads() + table.writes(), 0u);
 }
 
-TEST_F(ContractWriterTest, RefusesTheContractOfAnotherCustomer) {
+TEST_F(ContractWriterTest, RefusesTheContractOfAnotherWorkspace) {
   const AnswerOperator answer =
-      Ask({OperatorRequestId(1), OperatorVerb::kWrite, CustomerName("b"),
+      Ask({OperatorRequestId(1), OperatorVerb::kWrite, WorkspaceName("b"),
            MakeContractText("a", 1), kNoRow});
   EXPECT_EQ(answer.status, 400);
 }
@@ -278,7 +278,7 @@
     for (const ConfigChange& change : m_committed) {
       const LoggedChange& logged = record.recent[change.revision.value() - 1];
       RC_ASSERT(logged.change_id == change.change_id);
-      RC_ASSERT(logged.customer == change.customer);
+      RC_ASSERT(logged.workspace == change.workspace);
     }
   }
 
@@ -286,14 +286,14 @@
   static constexpr std::size_t kWriters = 3;
 
   void Submit() {
-    const auto customer = *rc::gen::element<std::string>("a", "b");
+    const auto workspace = *rc::gen::element<std::string>("a", "b");
     const bool is_withdrawal = *rc::gen::inRange(0, 4) == 0;
-    const RowVersion version = m_table.VersionOf(customer);
+    const RowVersion version = m_table.VersionOf(workspace);
     const double rate = static_cast<double>(m_answers.size()) + 1;
     AnswerOperator& answer = m_answers.emplace_back();
     OperatorRequested request = is_withdrawal
-                                    ? WithdrawRequest(customer, version)
-                                    : WriteRequest(customer, rate, version);
+                                    ? WithdrawRequest(workspace, version)
+                                    : WriteRequest(workspace, rate, version);
     request.request = OperatorRequestId(m_answers.size());
     m_writers[m_random.Index(kWriters)]->Handle(
         m_now, request, [&answer](TimePoint, AnswerOperator given) {
--- a/source/unit_tests/core/contracts/contract_yaml_test.cc
+++ b/source/unit_tests/core/contracts/contract_yaml_test.cc
@@ -35,7 +35,7 @@
                                          "studio-measurement.yaml",
                                          "archive-measurement.yaml"));
 
-constexpr char kValid[] = R"(customer: studio
+constexpr char kValid[] = R"(workspace: studio
 services:
   - name: desk
     kinds:
@@ -147,7 +147,7 @@
 TEST(ContractYamlTest, FailsWithFaultsAsLeafError) {
   const std::size_t faults = boost::leaf::try_handle_all(
       []() -> boost::leaf::result<std::size_t> {
-        BOOST_LEAF_CHECK(ParseContract("customer: [1]\n"));
+        BOOST_LEAF_CHECK(ParseContract("workspace: [1]\n"));
         return 0u;
       },
       [](const YamlFaults& faults) { return faults.faults.size(); },
--- a/source/unit_tests/core/limits/limiter_fleet.h
+++ b/source/unit_tests/core/limits/limiter_fleet.h
@@ -1,4 +1,4 @@
-// Several CustomerLimiters joined by a DatagramNetwork, in virtual time, and
+// Several WorkspaceLimiters joined by a DatagramNetwork, in virtual time, and
 // the naive limiter that they are compared with.
 
 #ifndef BULRUSHMOUNT_UNIT_TESTS_CORE_LIMITS_LIMITER_FLEET_H_
@@ -10,7 +10,7 @@
 #include <memory>
 #include <vector>
 
-#include "core/limits/customer_limiter.h"
+#include "core/limits/workspace_limiter.h"
 #include "unit_tests/core/limits/datagram_network.h"
 
 namespace bulrushmount {
@@ -55,15 +55,16 @@
   TimePoint now() const { return m_now; }
   DatagramNetwork& network() { return m_network; }
   std::size_t size() const { return m_nodes.size(); }
-  CustomerLimiter& node(std::size_t index) { return *m_nodes[index]; }
+  WorkspaceLimiter& node(std::size_t index) { return *m_nodes[index]; }
   bool IsRunning(std::size_t index) const {
     return m_alive[index] && !m_network.IsFrozen(index);
   }
 
-  void SetLimits(const CustomerName& customer, const CustomerLimits& limits) {
-    m_customers.emplace_back(customer, limits);
+  void SetLimits(const WorkspaceName& workspace,
+                 const WorkspaceLimits& limits) {
+    m_workspaces.emplace_back(workspace, limits);
     for (const auto& node : m_nodes)
-      node->SetLimits(m_now, customer, limits);
+      node->SetLimits(m_now, workspace, limits);
   }
 
   void Advance(Duration duration) {
@@ -80,10 +81,10 @@
             DatagramNetwork::EndpointOf(index)};
   }
 
-  // Whom `customer` is lent by, as the nodes of `side` see it.
-  std::size_t HomeOf(const CustomerName& customer, int side = 0) const {
+  // Whom `workspace` is lent by, as the nodes of `side` see it.
+  std::size_t HomeOf(const WorkspaceName& workspace, int side = 0) const {
     const std::vector<Peer> members = MembersOf(side);
-    const Peer* home = RendezvousHome(members, KeyOf(customer).value());
+    const Peer* home = RendezvousHome(members, KeyOf(workspace).value());
     return home->gossip.port - DatagramNetwork::kFirstPort;
   }
 
@@ -121,10 +122,10 @@
   }
 
   void Boot(std::size_t index) {
-    m_nodes[index] = std::make_unique<CustomerLimiter>(
+    m_nodes[index] = std::make_unique<WorkspaceLimiter>(
         LimitsSettings(), PeerOf(index), m_network.PortOf(index), m_now);
-    for (const auto& [customer, limits] : m_customers)
-      m_nodes[index]->SetLimits(m_now, customer, limits);
+    for (const auto& [workspace, limits] : m_workspaces)
+      m_nodes[index]->SetLimits(m_now, workspace, limits);
   }
 
   void Step() {
@@ -144,8 +145,8 @@
   DatagramNetwork m_network;
   std::vector<bool> m_alive;
   std::vector<std::uint64_t> m_boots;
-  std::vector<std::unique_ptr<CustomerLimiter>> m_nodes;
-  std::vector<std::pair<CustomerName, CustomerLimits>> m_customers;
+  std::vector<std::unique_ptr<WorkspaceLimiter>> m_nodes;
+  std::vector<std::pair<WorkspaceName, WorkspaceLimits>> m_workspaces;
 };
 
 }  // namespace bulrushmount
--- a/source/unit_tests/core/limits/limiter_fleet_property_test.cc
+++ b/source/unit_tests/core/limits/limiter_fleet_property_test.cc
@@ -1,4 +1,4 @@
-// Differential test of the customer limits: whatever datagrams and nodes are
+// Differential test of the workspace limits: whatever datagrams and nodes are
 // lost, the fleet admits at most the stated bound more than the naive limiter.
 
 #include <gtest/gtest.h>
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr std::size_t kNodes = 5;
-const CustomerName kCustomer{"kartli"};
+const WorkspaceName kWorkspace{"kartli"};
 
 enum class Fault : std::uint8_t { kNone, kKill, kFreeze, kLossy, kShift };
 
@@ -82,7 +82,7 @@
 }
 
 // The bound of docs/design/limits.md for one fleet without partition.
-double UnitsBound(const CustomerLimits& limits) {
+double UnitsBound(const WorkspaceLimits& limits) {
   const LimitsSettings settings;
   const double lent = LendingCapacity(settings, limits);
   const double saved =
@@ -91,19 +91,19 @@
   return 2 * lent + saved + 2 * allowed;
 }
 
-// Symptom: a customer gets more than its contract allows.
+// Symptom: a workspace gets more than its contract allows.
 // Sequence: any order of deaths, restarts, freezes beyond detection, lost,
 // repeated and overtaken datagrams, and shifts of demand between entries.
 // Cause: units or rates that are lent twice, or used beyond their term.
 RC_GTEST_PROP(LimiterFleetTest, AdmitsAtMostTheStatedBound, ()) {
   const auto limits = *rc::gen::element(
-      CustomerLimits{100, 50, 40}, CustomerLimits{20, 100, 10},
-      CustomerLimits{300, 10, 300}, CustomerLimits{1, 1, 1});
+      WorkspaceLimits{100, 50, 40}, WorkspaceLimits{20, 100, 10},
+      WorkspaceLimits{300, 10, 300}, WorkspaceLimits{1, 1, 1});
   const auto seed = *rc::gen::arbitrary<std::uint64_t>();
   const auto periods = *rc::gen::container<std::vector<Period>>(5, AnyPeriod());
   LimiterFleet fleet(kNodes, seed);
-  fleet.SetLimits(kCustomer, limits);
-  LimiterLoad load(fleet, kCustomer, limits);
+  fleet.SetLimits(kWorkspace, limits);
+  LimiterLoad load(fleet, kWorkspace, limits);
   for (const Period& period : periods)
     RunPeriod(fleet, load, period);
 
@@ -115,16 +115,16 @@
   RC_ASSERT(fleet.network().largest() <= kMaxDatagramPayload);
 }
 
-// Symptom: after faults are over a customer stays below its limit for ever.
+// Symptom: after faults are over a workspace stays below its limit for ever.
 // Sequence: the same faults, then twenty quiet seconds.
 // Cause: a loan that is never counted down, or a debt that is never paid back.
 RC_GTEST_PROP(LimiterFleetTest, ReturnsToTheFullRateAfterFaults, ()) {
-  const CustomerLimits limits{100, 50, 100};
+  const WorkspaceLimits limits{100, 50, 100};
   const auto seed = *rc::gen::arbitrary<std::uint64_t>();
   const auto periods = *rc::gen::container<std::vector<Period>>(3, AnyPeriod());
   LimiterFleet fleet(kNodes, seed);
-  fleet.SetLimits(kCustomer, limits);
-  LimiterLoad load(fleet, kCustomer, limits);
+  fleet.SetLimits(kWorkspace, limits);
+  LimiterLoad load(fleet, kWorkspace, limits);
   for (const Period& period : periods)
     RunPeriod(fleet, load, period);
 
--- a/source/unit_tests/core/limits/limiter_home_test.cc
+++ b/source/unit_tests/core/limits/limiter_home_test.cc
@@ -12,13 +12,13 @@
 using std::chrono_literals::operator""s;
 
 constexpr TimePoint kStart{std::chrono::hours(1)};
-constexpr CustomerKey kCustomer{7};
-const CustomerLimits kLimits{100, 50, 40};
+constexpr WorkspaceKey kWorkspace{7};
+const WorkspaceLimits kLimits{100, 50, 40};
 constexpr std::size_t kMembers = 10;
 
 AllotmentRequest Request(std::uint64_t number, double demand) {
   AllotmentRequest request;
-  request.customer = kCustomer;
+  request.workspace = kWorkspace;
   request.session = LendingSession(1);
   request.number = RequestNumber(number);
   request.target_units = 1000;
@@ -30,9 +30,9 @@
 class LimiterHomeTest : public testing::Test {
  protected:
   LimiterHomeTest() : m_home(LimitsSettings(), kStart) {
-    m_home.SetLimits(kStart, kCustomer, kLimits);
+    m_home.SetLimits(kStart, kWorkspace, kLimits);
     m_home.OnMembersChanged(kStart, kMembers, false,
-                            [](CustomerKey) { return true; });
+                            [](WorkspaceKey) { return true; });
   }
 
   Allotment Ask(Duration at, std::uint64_t entry, AllotmentRequest request) {
@@ -45,9 +45,9 @@
 // Symptom: twice the burst goes out when a home dies.
 // Sequence: the old home has lent its burst; the new one is asked at once.
 // Cause: a new account that starts full, beside loans in use.
-TEST_F(LimiterHomeTest, AHomeThatIsNewToACustomerStartsEmpty) {
+TEST_F(LimiterHomeTest, AHomeThatIsNewToAWorkspaceStartsEmpty) {
   m_home.OnMembersChanged(kStart + 100s, kMembers, true,
-                          [](CustomerKey) { return true; });
+                          [](WorkspaceKey) { return true; });
   EXPECT_EQ(Ask(100s, 1, Request(1, 10)).granted_units, 0);
   // A fifth of the rate, which no home lends as a rate.
   EXPECT_NEAR(Ask(101s, 2, Request(1, 10)).granted_units, 20, 0.01);
--- a/source/unit_tests/core/limits/limiter_load.h
+++ b/source/unit_tests/core/limits/limiter_load.h
@@ -1,4 +1,4 @@
-// Callers of one customer at the entries of a LimiterFleet.
+// Callers of one workspace at the entries of a LimiterFleet.
 
 #ifndef BULRUSHMOUNT_UNIT_TESTS_CORE_LIMITS_LIMITER_LOAD_H_
 #define BULRUSHMOUNT_UNIT_TESTS_CORE_LIMITS_LIMITER_LOAD_H_
@@ -17,12 +17,12 @@
 class LimiterLoad {
  public:
   LimiterLoad(LimiterFleet& fleet,
-              CustomerName customer,
-              const CustomerLimits& limits,
+              WorkspaceName workspace,
+              const WorkspaceLimits& limits,
               double units = 1,
               Duration service_time = std::chrono::milliseconds(20))
       : m_fleet(fleet),
-        m_customer(std::move(customer)),
+        m_workspace(std::move(workspace)),
         m_units(units),
         m_service_time(service_time),
         m_meter(limits.units_per_second),
@@ -39,7 +39,7 @@
     Forget(index);
     const TimePoint now = m_fleet.now();
     const Reason reason =
-        m_fleet.node(index).TryAdmit(now, m_customer, m_units);
+        m_fleet.node(index).TryAdmit(now, m_workspace, m_units);
     if (reason != Reason::kNone) {
       ++m_refused[index];
       return reason;
@@ -104,12 +104,12 @@
       if (m_fleet.PeerOf(index).id != id || m_boot_of[index] != id)
         continue;
       --m_in_flight[index];
-      m_fleet.node(index).OnCallEnded(m_fleet.now(), m_customer);
+      m_fleet.node(index).OnCallEnded(m_fleet.now(), m_workspace);
     }
   }
 
   LimiterFleet& m_fleet;
-  CustomerName m_customer;
+  WorkspaceName m_workspace;
   double m_units;
   Duration m_service_time;
   NaiveMeter m_meter;
--- a/source/unit_tests/core/limits/limits_codec_test.cc
+++ b/source/unit_tests/core/limits/limits_codec_test.cc
@@ -18,7 +18,7 @@
 
 AllotmentRequest LargestRequest(std::uint64_t number) {
   AllotmentRequest request;
-  request.customer = CustomerKey(number);
+  request.workspace = WorkspaceKey(number);
   request.session = LendingSession(~std::uint64_t{0});
   request.number = RequestNumber(~std::uint64_t{0});
   request.used_units = 1.25;
@@ -40,7 +40,7 @@
   for (std::uint64_t number = 1; number <= kCount; ++number) {
     datagram.requests.push_back(LargestRequest(number));
     Allotment allotment;
-    allotment.customer = CustomerKey(number);
+    allotment.workspace = WorkspaceKey(number);
     allotment.rate = 0.25;
     allotment.term = std::chrono::seconds(62);
     allotment.pace = AskPace::kConfirm;
@@ -54,12 +54,12 @@
     ASSERT_TRUE(decoded.has_value());
     EXPECT_EQ(decoded->sender, datagram.sender);
     for (const AllotmentRequest& request : decoded->requests) {
-      EXPECT_EQ(request.customer, CustomerKey(++requests));
+      EXPECT_EQ(request.workspace, WorkspaceKey(++requests));
       EXPECT_EQ(request.used_units, 1.25);
       EXPECT_TRUE(request.is_release);
     }
     for (const Allotment& allotment : decoded->allotments) {
-      EXPECT_EQ(allotment.customer, CustomerKey(++allotments));
+      EXPECT_EQ(allotment.workspace, WorkspaceKey(++allotments));
       EXPECT_EQ(allotment.rate, 0.25);
       EXPECT_EQ(allotment.term, std::chrono::seconds(62));
       EXPECT_EQ(allotment.pace, AskPace::kConfirm);
--- a/source/unit_tests/core/limits/customer_limiter_test.cc
+++ b/source/unit_tests/core/limits/workspace_limiter_test.cc
@@ -1,6 +1,6 @@
-// Tests of `core/limits/customer_limiter.h` over a few joined nodes.
+// Tests of `core/limits/workspace_limiter.h` over a few joined nodes.
 
-#include "core/limits/customer_limiter.h"
+#include "core/limits/workspace_limiter.h"
 
 #include <gtest/gtest.h>
 
@@ -14,62 +14,62 @@
 using std::chrono_literals::operator""ms;
 
 constexpr std::uint64_t kSeed = 1;
-const CustomerName kCustomer{"paramo"};
-const CustomerLimits kLimits{100, 50, 40};
+const WorkspaceName kWorkspace{"paramo"};
+const WorkspaceLimits kLimits{100, 50, 40};
 
-class CustomerLimiterTest : public testing::Test {
+class WorkspaceLimiterTest : public testing::Test {
  protected:
-  explicit CustomerLimiterTest(std::size_t nodes = 7)
-      : m_fleet(nodes, kSeed), m_load(m_fleet, kCustomer, kLimits) {
-    m_fleet.SetLimits(kCustomer, kLimits);
+  explicit WorkspaceLimiterTest(std::size_t nodes = 7)
+      : m_fleet(nodes, kSeed), m_load(m_fleet, kWorkspace, kLimits) {
+    m_fleet.SetLimits(kWorkspace, kLimits);
     // Past the grace of a new home.
     m_fleet.Advance(10s);
   }
 
-  // An entry that is not the customer's home.
-  std::size_t Away() const { return m_fleet.HomeOf(kCustomer) == 0 ? 1 : 0; }
+  // An entry that is not the workspace's home.
+  std::size_t Away() const { return m_fleet.HomeOf(kWorkspace) == 0 ? 1 : 0; }
 
   LimiterFleet m_fleet;
   LimiterLoad m_load;
 };
 
-TEST_F(CustomerLimiterTest, RefusesACustomerWithoutLimits) {
-  EXPECT_EQ(m_fleet.node(0).TryAdmit(m_fleet.now(), CustomerName("none"), 1),
-            Reason::kUnknownCustomer);
-  m_fleet.node(0).RemoveCustomer(m_fleet.now(), kCustomer);
-  EXPECT_EQ(m_load.Call(0), Reason::kUnknownCustomer);
+TEST_F(WorkspaceLimiterTest, RefusesAWorkspaceWithoutLimits) {
+  EXPECT_EQ(m_fleet.node(0).TryAdmit(m_fleet.now(), WorkspaceName("none"), 1),
+            Reason::kUnknownWorkspace);
+  m_fleet.node(0).RemoveWorkspace(m_fleet.now(), kWorkspace);
+  EXPECT_EQ(m_load.Call(0), Reason::kUnknownWorkspace);
 }
 
-TEST_F(CustomerLimiterTest, AdmitsFirstCallsWithoutWaitingForTheHome) {
+TEST_F(WorkspaceLimiterTest, AdmitsFirstCallsWithoutWaitingForTheHome) {
   for (int call = 0; call < 4; ++call)
     EXPECT_EQ(m_load.Call(Away()), Reason::kNone);
 }
 
-TEST_F(CustomerLimiterTest, AdmitsRareCallsEachTime) {
+TEST_F(WorkspaceLimiterTest, AdmitsRareCallsEachTime) {
   for (int call = 0; call < 20; ++call) {
     EXPECT_EQ(m_load.Call(Away()), Reason::kNone);
     m_load.Run(call % 2 == 0 ? 9s : 3s, {});
   }
 }
 
-// Symptom: a customer far below its limit is refused now and then.
+// Symptom: a workspace far below its limit is refused now and then.
 // Sequence: each of its rare calls is the first one at its entry again.
 // Cause: an allowance that earns its small part of the rate only, though the
 // home has booked each call.
-TEST_F(CustomerLimiterTest, TheAllowanceIsWholeAgainOnceTheHomeHasBookedIt) {
-  const CustomerName customer("rare");
-  const CustomerLimits limits{0.5, 4, 10};
-  m_fleet.SetLimits(customer, limits);
+TEST_F(WorkspaceLimiterTest, TheAllowanceIsWholeAgainOnceTheHomeHasBookedIt) {
+  const WorkspaceName workspace("rare");
+  const WorkspaceLimits limits{0.5, 4, 10};
+  m_fleet.SetLimits(workspace, limits);
   m_fleet.Advance(10s);
-  LimiterLoad load(m_fleet, customer, limits);
-  const std::size_t entry = (m_fleet.HomeOf(customer) + 1) % 7;
+  LimiterLoad load(m_fleet, workspace, limits);
+  const std::size_t entry = (m_fleet.HomeOf(workspace) + 1) % 7;
   for (int call = 0; call < 40; ++call) {
     EXPECT_EQ(load.Call(entry), Reason::kNone) << "call " << call;
     load.Run(9s, {});
   }
 }
 
-TEST_F(CustomerLimiterTest, LendsABurstToTheOneEntryThatSeesIt) {
+TEST_F(WorkspaceLimiterTest, LendsABurstToTheOneEntryThatSeesIt) {
   m_load.Call(Away());
   m_fleet.Advance(20ms);
   int admitted = 0;
@@ -88,11 +88,11 @@
   std::vector<double> expected;
 };
 
-class CustomerLimiterShareTest : public CustomerLimiterTest,
-                                 public testing::WithParamInterface<ShareCase> {
-};
+class WorkspaceLimiterShareTest
+    : public WorkspaceLimiterTest,
+      public testing::WithParamInterface<ShareCase> {};
 
-TEST_P(CustomerLimiterShareTest, LendsInProportionToDemand) {
+TEST_P(WorkspaceLimiterShareTest, LendsInProportionToDemand) {
   m_load.Run(10s, GetParam().offered);
   m_load.Reset();
   m_load.Run(20s, GetParam().offered);
@@ -105,7 +105,7 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Cases,
-    CustomerLimiterShareTest,
+    WorkspaceLimiterShareTest,
     testing::Values(
         ShareCase{"OneEntryGetsNearlyAll", {0, 300}, {0, 95}},
         ShareCase{"BelowTheLimitNothingIsRefused",
@@ -118,7 +118,7 @@
                   {11, 11, 11, 11, 11, 11, 11}}),
     [](const auto& test) { return test.param.name; });
 
-TEST_F(CustomerLimiterTest, FollowsDemandThatMovesToAnotherEntry) {
+TEST_F(WorkspaceLimiterTest, FollowsDemandThatMovesToAnotherEntry) {
   m_load.Run(10s, {90});
   m_load.Run(2s, {0, 90});
   m_load.Reset();
@@ -126,32 +126,32 @@
   EXPECT_LE(m_load.refused(), 0.02 * 900);
 }
 
-TEST_F(CustomerLimiterTest, BoundsCallsInFlightOverAllEntries) {
-  LimiterLoad slow(m_fleet, kCustomer, kLimits, 0.1, 60s);
+TEST_F(WorkspaceLimiterTest, BoundsCallsInFlightOverAllEntries) {
+  LimiterLoad slow(m_fleet, kWorkspace, kLimits, 0.1, 60s);
   // Allowances at first, and never more than the limit once the home counts.
   slow.Run(30s, {20, 20, 20, 20});
   EXPECT_GE(slow.worst_in_flight(), 36U);
   EXPECT_LE(slow.worst_in_flight(), kLimits.in_flight);
 }
 
-TEST_F(CustomerLimiterTest, OneEntryMayUseNearlyAllCallsInFlight) {
-  LimiterLoad slow(m_fleet, kCustomer, kLimits, 0.1, 60s);
+TEST_F(WorkspaceLimiterTest, OneEntryMayUseNearlyAllCallsInFlight) {
+  LimiterLoad slow(m_fleet, kWorkspace, kLimits, 0.1, 60s);
   slow.Run(10s, {0, 20});
   EXPECT_GE(slow.worst_in_flight(), 38U);
 }
 
-TEST_F(CustomerLimiterTest, AHeavyCallIsAdmittedAndPaidBack) {
-  LimiterLoad heavy(m_fleet, kCustomer, kLimits, 70);
+TEST_F(WorkspaceLimiterTest, AHeavyCallIsAdmittedAndPaidBack) {
+  LimiterLoad heavy(m_fleet, kWorkspace, kLimits, 70);
   heavy.Run(60s, {2, 2});
   // 70 units each, at 100 units a second.
   EXPECT_GE(heavy.admitted(), 40);
   EXPECT_LE(heavy.admitted(), 60 * 100 / 70 + 4);
 }
 
-TEST_F(CustomerLimiterTest, AContractThatIsCutIsInForceAtOnce) {
+TEST_F(WorkspaceLimiterTest, AContractThatIsCutIsInForceAtOnce) {
   m_load.Run(10s, {100, 100});
-  const CustomerLimits cut{10, 5, 40};
-  m_fleet.SetLimits(kCustomer, cut);
+  const WorkspaceLimits cut{10, 5, 40};
+  m_fleet.SetLimits(kWorkspace, cut);
   m_load.Run(2s, {100, 100});
   m_load.Reset();
   m_load.Run(10s, {100, 100});
@@ -162,39 +162,39 @@
 // Symptom: an operator cuts a limit, and entries still let the old burst
 // through. Sequence: an entry has borrowed half a burst and uses it after the
 // change. Cause: credit that outlives the contract it was lent under.
-TEST_F(CustomerLimiterTest, CreditDoesNotOutliveItsContract) {
-  const CustomerName customer("cut");
-  const CustomerLimits before{100, 100, 1000};
-  const CustomerLimits after{4, 4, 1000};
-  m_fleet.SetLimits(customer, before);
+TEST_F(WorkspaceLimiterTest, CreditDoesNotOutliveItsContract) {
+  const WorkspaceName workspace("cut");
+  const WorkspaceLimits before{100, 100, 1000};
+  const WorkspaceLimits after{4, 4, 1000};
+  m_fleet.SetLimits(workspace, before);
   m_fleet.Advance(10s);
-  LimiterLoad load(m_fleet, customer, after);
-  const std::size_t entry = (m_fleet.HomeOf(customer) + 1) % 7;
+  LimiterLoad load(m_fleet, workspace, after);
+  const std::size_t entry = (m_fleet.HomeOf(workspace) + 1) % 7;
   load.Call(entry);
   m_fleet.Advance(20ms);
-  m_fleet.SetLimits(customer, after);
+  m_fleet.SetLimits(workspace, after);
   load.Reset();
   for (int call = 0; call < 100; ++call)
     load.Call(entry);
   EXPECT_LE(load.admitted(), 4 + 2 + 4);
 }
 
-// Symptom: a customer that moved to another entry is refused half its calls.
+// Symptom: a workspace that moved to another entry is refused half its calls.
 // Sequence: the first entry borrows half of what may be in flight and is idle
 // from then on.
 // Cause: a loan that stays with an idle entry until its term.
-TEST_F(CustomerLimiterTest, AnIdleEntryGivesItsLoanBack) {
+TEST_F(WorkspaceLimiterTest, AnIdleEntryGivesItsLoanBack) {
   m_load.Call(0);
   m_load.Call(1);
   m_load.Run(10s, {});
-  LimiterLoad slow(m_fleet, kCustomer, kLimits, 0.1, 60s);
+  LimiterLoad slow(m_fleet, kWorkspace, kLimits, 0.1, 60s);
   slow.Run(1s, {0, 0, 60});
   EXPECT_GE(slow.admitted(), 38);
 }
 
-TEST_F(CustomerLimiterTest, OnlyActiveCustomersCostMessages) {
+TEST_F(WorkspaceLimiterTest, OnlyActiveWorkspacesCostMessages) {
   for (int index = 0; index < 200; ++index)
-    m_fleet.SetLimits(CustomerName("idle" + std::to_string(index)), kLimits);
+    m_fleet.SetLimits(WorkspaceName("idle" + std::to_string(index)), kLimits);
   const std::uint64_t before = m_fleet.network().sent();
   m_fleet.Advance(60s);
   EXPECT_EQ(m_fleet.network().sent(), before);
@@ -206,10 +206,10 @@
   EXPECT_EQ(m_fleet.network().sent(), after);
 }
 
-// Symptom: 18 datagrams a second a node for customers far below their limits.
+// Symptom: 18 datagrams a second a node for workspaces far below their limits.
 // Sequence: an entry's loan fits its demand; it asks again every 250 ms.
-// Cause: an interval by the number of customers alone.
-TEST_F(CustomerLimiterTest, ACustomerFarBelowItsLimitCostsFewMessages) {
+// Cause: an interval by the number of workspaces alone.
+TEST_F(WorkspaceLimiterTest, AWorkspaceFarBelowItsLimitCostsFewMessages) {
   std::vector<double> rates(7, 0);
   rates[Away()] = 2;
   m_load.Run(20s, rates);
@@ -219,7 +219,7 @@
   EXPECT_LE(m_fleet.network().sent() - before, 16U);
 }
 
-TEST_F(CustomerLimiterTest, ARiseInDemandEndsTheCalm) {
+TEST_F(WorkspaceLimiterTest, ARiseInDemandEndsTheCalm) {
   std::vector<double> rates(7, 0);
   rates[Away()] = 2;
   m_load.Run(20s, rates);
@@ -229,14 +229,14 @@
   EXPECT_GE(m_load.admitted(), 0.98 * 5 * 60);
 }
 
-// Symptom: after the home of a customer dies the entries refuse its calls, or
+// Symptom: after the home of a workspace dies the entries refuse its calls, or
 // admit two limits' worth.
 // Sequence: four entries use the whole limit; the home is killed; two seconds
 // later the members learn of it and a new home takes over.
 // Cause: without terms that outlast the change the entries stand empty-handed;
 // without a grace the new home lends a second time what is still in use.
-TEST_F(CustomerLimiterTest, TheDeathOfAHomeNeitherStarvesNorDoubles) {
-  const std::size_t home = m_fleet.HomeOf(kCustomer);
+TEST_F(WorkspaceLimiterTest, TheDeathOfAHomeNeitherStarvesNorDoubles) {
+  const std::size_t home = m_fleet.HomeOf(kWorkspace);
   std::vector<double> rates(7, 50);
   rates[home] = 0;
   m_load.Run(20s, rates);
@@ -249,11 +249,11 @@
   EXPECT_LE(m_load.meter().worst(), 2 * 100 + 6 * 4);
 }
 
-// Symptom: an entry that is cut off refuses all calls of a customer.
+// Symptom: an entry that is cut off refuses all calls of a workspace.
 // Sequence: the entry is cut from all other nodes, its loans end, and its own
 // membership has not declared the others dead.
 // Cause: an entry that can only spend what the home lends has nothing left.
-TEST_F(CustomerLimiterTest, FallsBackToItsPartOfTheLimitWithoutAHome) {
+TEST_F(WorkspaceLimiterTest, FallsBackToItsPartOfTheLimitWithoutAHome) {
   m_load.Run(10s, {100, 100});
   m_fleet.network().SetSide(Away(), 1);
   std::vector<double> rates(7, 0);
@@ -266,13 +266,13 @@
   EXPECT_LE(m_load.admitted() / 30, part * 1.05);
 }
 
-// Symptom: more calls of a customer run than its contract allows, after an
+// Symptom: more calls of a workspace run than its contract allows, after an
 // entry was stopped for minutes.
 // Sequence: an entry borrows most of the rate; it is frozen beyond the term;
 // the home lends the same rate to others; the entry goes on.
 // Cause: a loan that is checked by a timer, and not against the clock at each
 // call, is still used when the process goes on.
-TEST_F(CustomerLimiterTest, AFrozenEntryDoesNotUseALapsedLoan) {
+TEST_F(WorkspaceLimiterTest, AFrozenEntryDoesNotUseALapsedLoan) {
   std::vector<double> rates(7, 0);
   rates[Away()] = 300;
   m_load.Run(10s, rates);
--- a/source/unit_tests/core/node_logic/event_script.cc
+++ b/source/unit_tests/core/node_logic/event_script.cc
@@ -18,7 +18,7 @@
 constexpr int kMaxTimersAtOnce = 100;
 constexpr std::size_t kMaxDatagrams = 64;
 
-constexpr char kContract[] = R"(customer: paramo
+constexpr char kContract[] = R"(workspace: paramo
 services:
   - name: desk
     kinds:
@@ -67,7 +67,7 @@
   OperatorRequested write;
   write.request = OperatorRequestId(1);
   write.verb = OperatorVerb::kWrite;
-  write.customer = CustomerName("paramo");
+  write.workspace = WorkspaceName("paramo");
   write.body = kContract;
   Deliver(write);
   LetPass(kSettlingTime);
@@ -249,7 +249,7 @@
   const std::uint8_t shape = Byte();
   CallHead head;
   head.request_id = RequestId(fmt::format("r{}", m_at));
-  head.customer = CustomerName(shape % 16 == 15 ? "nobody" : "paramo");
+  head.workspace = WorkspaceName(shape % 16 == 15 ? "nobody" : "paramo");
   head.service = ServiceName("desk");
   head.method = shape % 2 == 0 ? "GET" : "PUT";
   head.target = "/";
@@ -271,7 +271,7 @@
   const std::uint8_t shape = Byte();
   WorkHead head;
   head.entry = NodeId(shape % 3 + 1);
-  head.customer = CustomerName(shape % 2 == 0 ? "paramo" : "other");
+  head.workspace = WorkspaceName(shape % 2 == 0 ? "paramo" : "other");
   head.service = ServiceName(shape % 16 == 15 ? "elsewhere" : "desk");
   head.kind = KindName("browse");
   head.method = "GET";
@@ -345,7 +345,7 @@
   OperatorRequested event;
   event.request = OperatorRequestId(Byte() % 4);
   event.verb = static_cast<OperatorVerb>(Byte() % 4);
-  event.customer = CustomerName(Byte() % 2 == 0 ? "other" : "");
+  event.workspace = WorkspaceName(Byte() % 2 == 0 ? "other" : "");
   event.body = AnyText();
   event.if_version = RowVersion(Byte() % 4);
   Deliver(event);
--- a/source/unit_tests/core/node_logic/failing_fast_test.cc
+++ b/source/unit_tests/core/node_logic/failing_fast_test.cc
@@ -1,5 +1,5 @@
-// Whole nodes beside targets and customers whose requests fail fast: neither
-// may cost other customers their answers.
+// Whole nodes beside targets and workspaces whose requests fail fast: neither
+// may cost other workspaces their answers.
 
 #include <chrono>
 #include <cstddef>
@@ -23,11 +23,11 @@
 constexpr int kOk = 200;
 constexpr char kInnocent[] = "paramo";
 constexpr char kFailing[] = "failing";
-// The failing customer sends so many for each request of the innocent one.
+// The failing workspace sends so many for each request of the innocent one.
 constexpr int kFailingForOne = 10;
 constexpr Duration kPause = std::chrono::milliseconds(50);
 
-constexpr char kContract[] = R"(customer: {}
+constexpr char kContract[] = R"(workspace: {}
 services:
   - name: session-desk
     kinds:
@@ -46,18 +46,18 @@
 class FailingFastTest : public ::testing::Test {
  protected:
   FailingFastTest() : m_fleet(kNodes, kSeed, "session-desk") {
-    for (const char* customer : {kInnocent, kFailing})
-      m_fleet.WriteContract(customer, fmt::format(kContract, customer));
+    for (const char* workspace : {kInnocent, kFailing})
+      m_fleet.WriteContract(workspace, fmt::format(kContract, workspace));
     // Past the cold start of the targets.
     m_fleet.Run(30s);
   }
 
-  std::size_t Send(const char* customer, const char* method) {
+  std::size_t Send(const char* workspace, const char* method) {
     m_entry = (m_entry + 1) % kNodes;
-    return m_fleet.Send(m_entry, m_fleet.MakeHead(customer, method, "/a"));
+    return m_fleet.Send(m_entry, m_fleet.MakeHead(workspace, method, "/a"));
   }
 
-  // Both customers call for `duration`; the part of the innocent one's calls
+  // Both workspaces call for `duration`; the part of the innocent one's calls
   // that got a good answer.
   double Goodput(Duration duration, const char* method_of_failing) {
     const TimePoint end = m_fleet.now() + duration;
@@ -79,12 +79,12 @@
   std::size_t m_entry = 0;
 };
 
-// Symptom: a customer is refused for want of targets, though all are well.
+// Symptom: a workspace is refused for want of targets, though all are well.
 // Sequence: another one sends ten times as many requests, and each is answered
 // with status 500.
 // Cause: four fifths of a target's answers are errors, so it is taken out, and
 // so is the next.
-TEST_F(FailingFastTest, OneCustomersErrorsDoNotCostAnotherItsTargets) {
+TEST_F(FailingFastTest, OneWorkspacesErrorsDoNotCostAnotherItsTargets) {
   const double goodput = Goodput(60s, Fleet::kFailMethod);
   RecordProperty("goodput", fmt::format("{:.3f}", goodput));
   EXPECT_GE(goodput, 0.99) << goodput;
