--- a/source/unit_tests/core/node_logic/fleet.cc
+++ b/source/unit_tests/core/node_logic/fleet.cc
@@ -273,17 +273,17 @@
   Deliver(index, ShutdownRequested());
 }
 
-CallHead Fleet::MakeHead(const std::string& customer,
+CallHead Fleet::MakeHead(const std::string& workspace,
                          const std::string& method,
                          const std::string& target) {
   CallHead head;
   head.request_id = RequestId(fmt::format("request-{}", ++m_last_id));
-  head.customer = CustomerName(customer);
+  head.workspace = WorkspaceName(workspace);
   head.service = ServiceName(m_options.services.front());
   head.method = method;
   head.target = target;
   head.fingerprint =
-      Fingerprint(std::hash<std::string>()(customer + method + target));
+      Fingerprint(std::hash<std::string>()(workspace + method + target));
   return head;
 }
 
@@ -297,7 +297,7 @@
   m_calls.push_back(view);
   if (head.idempotency_key) {
     m_key_of_request[head.request_id.value()] =
-        head.customer.value() + "/" + head.idempotency_key->value();
+        head.workspace.value() + "/" + head.idempotency_key->value();
   }
   if (m_nodes[entry]->has_exited) {
     m_calls.back().is_cut = true;
@@ -315,12 +315,12 @@
   Deliver(view.entry, CallerGone{CallId(call + 1)});
 }
 
-void Fleet::WriteContract(const std::string& customer,
+void Fleet::WriteContract(const std::string& workspace,
                           const std::string& yaml) {
   OperatorRequested request;
   request.request = OperatorRequestId(++m_last_id);
   request.verb = OperatorVerb::kWrite;
-  request.customer = CustomerName(customer);
+  request.workspace = WorkspaceName(workspace);
   request.body = yaml;
   m_operator_answer.reset();
   Deliver(0, request);
--- a/source/unit_tests/core/node_logic/fleet.h
+++ b/source/unit_tests/core/node_logic/fleet.h
@@ -67,7 +67,7 @@
   ~Fleet();
 
   // Writes a contract by the first node and waits until all have it in force.
-  void WriteContract(const std::string& customer, const std::string& yaml);
+  void WriteContract(const std::string& workspace, const std::string& yaml);
 
   // Lets `duration` pass.
   void Run(Duration duration);
@@ -76,7 +76,7 @@
 
   // A caller sends a request; returns its index in `calls()`.
   std::size_t Send(std::size_t entry, CallHead head);
-  CallHead MakeHead(const std::string& customer,
+  CallHead MakeHead(const std::string& workspace,
                     const std::string& method,
                     const std::string& target);
   // The caller closes its connection.
--- a/source/unit_tests/core/node_logic/node_logic_test.cc
+++ b/source/unit_tests/core/node_logic/node_logic_test.cc
@@ -22,13 +22,13 @@
 using testing::CallerView;
 using testing::Fleet;
 
-constexpr char kCustomer[] = "paramo";
+constexpr char kWorkspace[] = "paramo";
 constexpr char kService[] = "session-desk";
 constexpr Duration kDeadline = std::chrono::milliseconds(500);
 // What a refusal or an answer may take beyond the deadline, on its way.
 constexpr Duration kMargin = std::chrono::milliseconds(5);
 
-constexpr char kContract[] = R"(customer: paramo
+constexpr char kContract[] = R"(workspace: paramo
 services:
   - name: session-desk
     kinds:
@@ -58,7 +58,7 @@
 key_retention: 24h
 )";
 
-constexpr char kMeasuringContract[] = R"(customer: measurement
+constexpr char kMeasuringContract[] = R"(workspace: measurement
 budgets:
   - {service: session-desk, probes_per_second: 2, probes_in_flight: 1}
 )";
@@ -72,8 +72,8 @@
       std::uint64_t seed,
       Duration settling = std::chrono::seconds(5)) {
     auto fleet = std::make_unique<Fleet>(nodes, seed, kService);
-    fleet->WriteContract(kCustomer, kContract);
-    fleet->WriteContract(kMeasurementCustomer, kMeasuringContract);
+    fleet->WriteContract(kWorkspace, kContract);
+    fleet->WriteContract(kMeasurementWorkspace, kMeasuringContract);
     const bool is_ready = fleet->RunUntil(
         [&fleet] {
           for (std::size_t node = 0; node < fleet->size(); ++node) {
@@ -112,7 +112,7 @@
 TEST_F(NodeLogicTest, AnswersCallsAtEveryEntry) {
   const auto fleet = MakeFleet(3, 1);
   for (std::size_t entry = 0; entry < fleet->size(); ++entry)
-    fleet->Send(entry, fleet->MakeHead(kCustomer, "GET", "/scripts"));
+    fleet->Send(entry, fleet->MakeHead(kWorkspace, "GET", "/scripts"));
   fleet->Run(kDeadline);
   for (const CallerView& call : fleet->calls()) {
     EXPECT_EQ(call.outcome, Outcome::kAnswered) << TraitsOf(call.reason).token;
@@ -123,7 +123,7 @@
 TEST_F(NodeLogicTest, RunsARepeatedKeyOnceAndReplaysItsAnswer) {
   const auto fleet = MakeFleet(3, 2);
   for (std::size_t entry = 0; entry < fleet->size(); ++entry) {
-    CallHead head = fleet->MakeHead(kCustomer, "PUT", "/slots/7");
+    CallHead head = fleet->MakeHead(kWorkspace, "PUT", "/slots/7");
     head.idempotency_key = IdempotencyKey("booking-7");
     fleet->Send(entry, head);
     fleet->Run(std::chrono::seconds(2));
@@ -140,7 +140,7 @@
     RC_ASSERT(runs == 0U);
   if (call.key) {
     RC_ASSERT(fleet.RunsOfKey(
-                  fmt::format("{}/{}", kCustomer, call.key->value())) <= 1U);
+                  fmt::format("{}/{}", kWorkspace, call.key->value())) <= 1U);
   } else if (call.outcome == Outcome::kAnswered) {
     RC_ASSERT(runs >= 1U);
   }
@@ -220,7 +220,7 @@
 }
 
 CallHead MakeBooking(Fleet& fleet, std::size_t key) {
-  CallHead head = fleet.MakeHead(kCustomer, "PUT", "/slots");
+  CallHead head = fleet.MakeHead(kWorkspace, "PUT", "/slots");
   head.idempotency_key = IdempotencyKey(fmt::format("key-{}", key % 5));
   return head;
 }
@@ -231,14 +231,14 @@
   constexpr std::size_t most_actions = 6;
   switch (step.kind) {
     case Step::Kind::kCall:
-      fleet.Send(step.node, fleet.MakeHead(kCustomer, "GET", "/scripts"));
+      fleet.Send(step.node, fleet.MakeHead(kWorkspace, "GET", "/scripts"));
       break;
     case Step::Kind::kBooking:
       fleet.Send(step.node, MakeBooking(fleet, step.detail));
       break;
     case Step::Kind::kPoison:
       fleet.Send(step.node,
-                 fleet.MakeHead(kCustomer, Fleet::kPoisonMethod, "/scripts"));
+                 fleet.MakeHead(kWorkspace, Fleet::kPoisonMethod, "/scripts"));
       break;
     case Step::Kind::kKill:
       fleet.Kill(step.node);
@@ -314,7 +314,7 @@
     fleet->SetServiceTime(node, std::chrono::milliseconds(5));
   fleet->Run(std::chrono::seconds(90));
   for (std::size_t entry = 0; entry < kNodes; ++entry) {
-    CallHead head = fleet->MakeHead(kCustomer, "PUT", "/after");
+    CallHead head = fleet->MakeHead(kWorkspace, "PUT", "/after");
     head.idempotency_key = IdempotencyKey(fmt::format("after-{}", entry));
     fleet->Send(entry, head);
     fleet->Run(kDeadline);
@@ -332,8 +332,8 @@
   const auto fleet = MakeFleet(kNodes, 4);
   for (std::size_t repeat = 0; repeat < repeats; ++repeat) {
     for (std::size_t entry = 0; entry < kNodes; ++entry) {
-      fleet->Send(entry,
-                  fleet->MakeHead(kCustomer, Fleet::kPoisonMethod, "/scripts"));
+      fleet->Send(
+          entry, fleet->MakeHead(kWorkspace, Fleet::kPoisonMethod, "/scripts"));
     }
     fleet->Run(std::chrono::milliseconds(700));
   }
@@ -354,7 +354,7 @@
   const auto fleet = MakeFleet(1, 7);
   fleet->Run(std::chrono::seconds(10));
   const auto send = [&fleet](const char* method) {
-    return fleet->Send(0, fleet->MakeHead(kCustomer, method, "/folios"));
+    return fleet->Send(0, fleet->MakeHead(kWorkspace, method, "/folios"));
   };
   fleet->SetServiceTime(0, std::chrono::milliseconds(300));
   send("GET");
@@ -385,7 +385,7 @@
   const TimePoint withdrawn_at = fleet->now();
   for (int round = 0; round < 50; ++round) {
     for (std::size_t entry = 0; entry < kNodes; ++entry)
-      fleet->Send(entry, fleet->MakeHead(kCustomer, "GET", "/scripts"));
+      fleet->Send(entry, fleet->MakeHead(kWorkspace, "GET", "/scripts"));
     fleet->Run(std::chrono::milliseconds(20));
   }
   EXPECT_LE(fleet->LastRunAt(1).value_or(withdrawn_at), withdrawn_at);
@@ -402,7 +402,7 @@
   const auto fleet = MakeFleet(kNodes, 6);
   for (std::size_t node = 0; node < kNodes; ++node) {
     fleet->SetServiceTime(node, std::chrono::seconds(20));
-    fleet->Send(node, fleet->MakeHead(kCustomer, "GET", "/masters/1"));
+    fleet->Send(node, fleet->MakeHead(kWorkspace, "GET", "/masters/1"));
   }
   fleet->Run(std::chrono::milliseconds(50));
   for (std::size_t node = 0; node < kNodes; ++node)
@@ -445,13 +445,13 @@
   // Not more at once than the retry budget sets aside for an idle service.
   constexpr int calls = 5;
   for (int call = 0; call < calls; ++call)
-    fleet->Send(0, fleet->MakeHead(kCustomer, "GET", "/scripts"));
+    fleet->Send(0, fleet->MakeHead(kWorkspace, "GET", "/scripts"));
   fleet->Run(kDeadline);
   for (const CallerView& call : fleet->calls())
     EXPECT_EQ(call.outcome, Outcome::kAnswered) << TraitsOf(call.reason).token;
 }
 
-// Symptom: a customer is refused with customer-rate-limit though it sends a
+// Symptom: a workspace is refused with workspace-rate-limit though it sends a
 // hundredth of what its contract allows. Sequence: a new fleet, whose limiter
 // homes have little to lend yet; the first calls come at all entries within a
 // third of a second. Cause: an entry that has a loan goes by it alone, and the
@@ -460,12 +460,12 @@
   const auto fleet = MakeFleet(kNodes, 9, Duration(0));
   for (int round = 0; round < 100; ++round) {
     for (std::size_t entry = 0; entry < kNodes; ++entry)
-      fleet->Send(entry, fleet->MakeHead(kCustomer, "GET", "/scripts"));
+      fleet->Send(entry, fleet->MakeHead(kWorkspace, "GET", "/scripts"));
     fleet->Run(std::chrono::microseconds(3540));
   }
   std::size_t refused = 0;
   for (const CallerView& call : fleet->calls())
-    refused += call.reason == Reason::kCustomerRateLimit ? 1 : 0;
+    refused += call.reason == Reason::kWorkspaceRateLimit ? 1 : 0;
   EXPECT_EQ(refused, 0U) << "of " << fleet->calls().size();
 }
 
@@ -475,10 +475,10 @@
 TEST_F(NodeLogicTest, FrozenNodeCatchesUpWithTheConfiguration) {
   const auto fleet = MakeFleet(kNodes, 7);
   fleet->Freeze(2);
-  for (const char* const customer : {"one", "two", "three"}) {
+  for (const char* const workspace : {"one", "two", "three"}) {
     std::string yaml = kContract;
-    yaml.replace(yaml.find("paramo"), 6, customer);
-    fleet->WriteContract(customer, yaml);
+    yaml.replace(yaml.find("paramo"), 6, workspace);
+    fleet->WriteContract(workspace, yaml);
   }
   fleet->Run(std::chrono::seconds(8));
   fleet->Resume(2);
--- a/source/unit_tests/core/reporting/burn_report_test.cc
+++ b/source/unit_tests/core/reporting/burn_report_test.cc
@@ -46,7 +46,7 @@
 
 BurnSeries MakeSeries(std::array<double, kBurnWindowCount> bad_percent) {
   BurnSeries series;
-  series.customer = CustomerName("studio");
+  series.workspace = WorkspaceName("studio");
   series.service = ServiceName("desk");
   series.kind = KindName("browse");
   series.objective = {0.99, 50ms};
@@ -95,13 +95,13 @@
   part.series[0].latencies = {{1, 4}, {5, 5}};
   part.series[0].outcomes.unknown = 6;
   BurnSeries other = MakeSeries({0, 0, 0, 0});
-  other.customer = CustomerName("archive");
+  other.workspace = WorkspaceName("archive");
   part.series.push_back(other);
   Merge(report, part);
   EXPECT_EQ(report.nodes, 3U);
   EXPECT_EQ(report.nodes_missing, 1U);
   ASSERT_EQ(report.series.size(), 2U);
-  EXPECT_EQ(report.series[0].customer, CustomerName("archive"));
+  EXPECT_EQ(report.series[0].workspace, WorkspaceName("archive"));
   const BurnSeries& merged = report.series[1];
   EXPECT_EQ(merged.In(BurnWindow::kFiveMinutes), (EventCounts{190, 10}));
   EXPECT_EQ(merged.outcomes.unknown, 6U);
@@ -163,7 +163,7 @@
         std::pair("{}", "series is not an array"),
         std::pair(R"({"nodes":-1,"nodes_missing":0,"series":[]})", "nodes is"),
         std::pair(R"({"nodes":1,"nodes_missing":0,"series":[7]})", "series is"),
-        std::pair(WithSeries("\"studio\"", "7"), "customer is not a string"),
+        std::pair(WithSeries("\"studio\"", "7"), "workspace is not a string"),
         std::pair(WithSeries("\"bad\":1E0", "\"bad\":-1"), "bad is not"),
         std::pair(WithSeries("\"5m\"", "\"5n\""), "5m is not an object"),
         std::pair(WithSeries("\"latencies\":[]", "\"latencies\":[[194,1]]"),
--- a/source/unit_tests/core/reporting/call_recorder_test.cc
+++ b/source/unit_tests/core/reporting/call_recorder_test.cc
@@ -24,7 +24,7 @@
 constexpr std::size_t kMaxSeries = 8;
 
 CallRecord MakeRecord(Outcome outcome, Reason reason, Duration latency) {
-  return {CustomerName("studio"),
+  return {WorkspaceName("studio"),
           ServiceName("desk"),
           KindName("browse"),
           outcome,
@@ -60,7 +60,7 @@
                   CallVerdict::kBad},
         JudgeCase{Outcome::kNotRun, Reason::kOverloaded, 1ms,
                   CallVerdict::kBad},
-        JudgeCase{Outcome::kNotRun, Reason::kCustomerRateLimit, 1ms,
+        JudgeCase{Outcome::kNotRun, Reason::kWorkspaceRateLimit, 1ms,
                   CallVerdict::kNotCounted},
         JudgeCase{Outcome::kNotRun, Reason::kMalformedRequest, 1ms,
                   CallVerdict::kNotCounted},
@@ -113,9 +113,9 @@
   }
   EXPECT_EQ(recorder.series_count(), 3U);
   const BurnReport report = recorder.Snapshot(kStart);
-  EXPECT_EQ(report.series[0].customer, CustomerName(kOtherCustomer));
+  EXPECT_EQ(report.series[0].workspace, WorkspaceName(kOtherWorkspace));
   EXPECT_EQ(report.series[0].outcomes.answered, 98U);
-  recorder.Forget(CustomerName("studio"));
+  recorder.Forget(WorkspaceName("studio"));
   EXPECT_EQ(recorder.series_count(), 1U);
 }
 
--- a/source/unit_tests/core/reporting/metrics_page_test.cc
+++ b/source/unit_tests/core/reporting/metrics_page_test.cc
@@ -43,7 +43,7 @@
 
 class LabelTest : public testing::TestWithParam<EscapeCase> {};
 
-// Symptom: the page has a line that no metric wrote. Cause: a customer's name
+// Symptom: the page has a line that no metric wrote. Cause: a workspace's name
 // with a line break or a quote was put in as it was.
 TEST_P(LabelTest, IsEscaped) {
   MetricsRegistry registry;
--- a/source/unit_tests/core/target_state/target_life_test.cc
+++ b/source/unit_tests/core/target_state/target_life_test.cc
@@ -18,7 +18,7 @@
 //   A announced anew   h announcement, same incarnation   m announcement missed
 //   w withdrawn        d drained                          x crashed
 //   o real answer      e error   s shed   c connect failed   b broken off
-//   1, 2, 3 real answer of a named customer   !, @, # error of the same one
+//   1, 2, 3 real answer of a named workspace   !, @, # error of the same one
 //   + healthy probe    - failed or unhealthy probe
 //   t 1 s passes       T 25 s pass
 class Script {
@@ -74,13 +74,13 @@
       case '2':
       case '3':
         return m_life.OnReal(m_now, RealResult::kAnswered,
-                             CustomerName(std::string(1, event)));
+                             WorkspaceName(std::string(1, event)));
       case '!':
-        return m_life.OnReal(m_now, RealResult::kError, CustomerName("1"));
+        return m_life.OnReal(m_now, RealResult::kError, WorkspaceName("1"));
       case '@':
-        return m_life.OnReal(m_now, RealResult::kError, CustomerName("2"));
+        return m_life.OnReal(m_now, RealResult::kError, WorkspaceName("2"));
       case '#':
-        return m_life.OnReal(m_now, RealResult::kError, CustomerName("3"));
+        return m_life.OnReal(m_now, RealResult::kError, WorkspaceName("3"));
       case 's':
         return m_life.OnReal(m_now, RealResult::kShed);
       case 'c':
@@ -195,28 +195,28 @@
         LifeCase{"SomeErrors", "errors of a few callers take it out",
                  kServingFrom + "eoeoeeoeoeeoeoeoo", TargetState::kServing,
                  ProbeNeed::kNone},
-        LifeCase{"OneCustomersErrors",
-                 "one customer's bad requests take it out for the others",
+        LifeCase{"OneWorkspacesErrors",
+                 "one workspace's bad requests take it out for the others",
                  kServingFrom + "2!!!!!!!!!!!!!!!!!!!!!!!!!!!!!!",
                  TargetState::kServing, ProbeNeed::kNone},
-        LifeCase{"OneCustomersErrorsBesideAStrayOne",
-                 "as above, with one error of an innocent customer",
+        LifeCase{"OneWorkspacesErrorsBesideAStrayOne",
+                 "as above, with one error of an innocent workspace",
                  kServingFrom + "23!!!!!!!!!!!!@!!!!!!!!!!!!!!!!",
                  TargetState::kServing, ProbeNeed::kNone},
-        LifeCase{"OneCustomersErrorsAlone",
-                 "a target that fails fast draws a lone customer's traffic",
+        LifeCase{"OneWorkspacesErrorsAlone",
+                 "a target that fails fast draws a lone workspace's traffic",
                  kServingFrom + "!!!!!!!!!!", TargetState::kSuspect,
                  ProbeNeed::kSuspect},
-        LifeCase{"OneCustomersErrorsLongAfterAnother",
+        LifeCase{"OneWorkspacesErrorsLongAfterAnother",
                  "answers of long ago keep a failing target in service",
                  kServingFrom + "2tttttttttt!!!!!!!!!!", TargetState::kSuspect,
                  ProbeNeed::kSuspect},
-        LifeCase{"ErrorsOfAllCustomers",
-                 "a failing target is kept by its customers' number",
+        LifeCase{"ErrorsOfAllWorkspaces",
+                 "a failing target is kept by its workspaces' number",
                  kServingFrom + "123!@#!@#!@#!@#!@#!@#", TargetState::kSuspect,
                  ProbeNeed::kSuspect},
-        LifeCase{"ErrorsOfAllCustomersOneFrequent",
-                 "a failing target is kept by a customer of few requests",
+        LifeCase{"ErrorsOfAllWorkspacesOneFrequent",
+                 "a failing target is kept by a workspace of few requests",
                  kServingFrom + "12!!!!!!!!!!!!!!!!!!!!@!!",
                  TargetState::kSuspect, ProbeNeed::kSuspect},
         LifeCase{"Crashed", "calls go on to a crashed target",
@@ -277,8 +277,8 @@
         LifeCase{"SecondSuspicionIsLonger", "trials go on at the first pace",
                  kServingFrom + "ccct+eeet+", TargetState::kSuspect,
                  ProbeNeed::kSuspect},
-        LifeCase{"OneCustomerKeepsItOutForSeconds",
-                 "one customer keeps it from the others for long",
+        LifeCase{"OneWorkspaceKeepsItOutForSeconds",
+                 "one workspace keeps it from the others for long",
                  kServingFrom + "!!!!!!!!!!t+!!!tt+!!!tttt+!!!tttt+",
                  TargetState::kWarming, ProbeNeed::kWarming},
         LifeCase{"TrialSucceeds", "one early error ends a trial",
--- a/source/unit_tests/core/transport/burn_gatherer_test.cc
+++ b/source/unit_tests/core/transport/burn_gatherer_test.cc
@@ -33,7 +33,7 @@
   part.nodes = 1;
   for (std::size_t index = 0; index < series; ++index) {
     BurnSeries one;
-    one.customer = CustomerName("studio");
+    one.workspace = WorkspaceName("studio");
     one.service = ServiceName("desk");
     one.kind = KindName("kind" + std::to_string(100000 + index));
     one.objective = {0.99, std::chrono::milliseconds(50)};
--- a/source/unit_tests/core/transport/caller_server_test.cc
+++ b/source/unit_tests/core/transport/caller_server_test.cc
@@ -115,8 +115,8 @@
                                 "fffffffffffffffff\r\nabc\r\n"},
       {"DeadlineOfWords", WithFields("Bulrushmount-Deadline-Ms: soon\r\n")},
       {"DeadlineZero", WithFields("Bulrushmount-Deadline-Ms: 0\r\n")},
-      {"TwoCustomers", WithFields("Bulrushmount-Customer: a\r\n"
-                                  "Bulrushmount-Customer: b\r\n")},
+      {"TwoWorkspaces", WithFields("Bulrushmount-Workspace: a\r\n"
+                                   "Bulrushmount-Workspace: b\r\n")},
       {"EmptyKey", WithFields("Idempotency-Key:\r\n")},
       {"TwoKeys", WithFields("Idempotency-Key: a\r\nIdempotency-Key: b\r\n")},
       {"LongField", WithFields("X-A: " + std::string(20000, 'a') + "\r\n"),
@@ -166,12 +166,12 @@
   EXPECT_EQ(acceptor.calls[0]->head().target, "/slow");
 }
 
-TEST_F(CallerServerTest, FingerprintIsOfCustomerMethodTargetAndBody) {
+TEST_F(CallerServerTest, FingerprintIsOfWorkspaceMethodTargetAndBody) {
   const std::vector<std::string> bodies = {"abc", "abc", "abd", ""};
   std::vector<Fingerprint> prints;
   for (const std::string& body : bodies) {
     const auto peer = RawPeer::Connect(context, server.endpoint());
-    peer->Send(WithFields("Bulrushmount-Customer: a\r\nContent-Length: " +
+    peer->Send(WithFields("Bulrushmount-Workspace: a\r\nContent-Length: " +
                           std::to_string(body.size()) + "\r\n") +
                body);
     ASSERT_TRUE(RunUntilCalls(prints.size() + 1));
@@ -226,15 +226,15 @@
   caller->Send(Get("/a"));
   ASSERT_TRUE(RunUntilCalls(1));
   acceptor.calls[0]->Answer(
-      MakeOutcomeHead(Outcome::kNotRun, Reason::kCustomerRateLimit,
+      MakeOutcomeHead(Outcome::kNotRun, Reason::kWorkspaceRateLimit,
                       acceptor.calls[0]->head().request_id),
-      MakeOutcomeBody(Outcome::kNotRun, Reason::kCustomerRateLimit));
+      MakeOutcomeBody(Outcome::kNotRun, Reason::kWorkspaceRateLimit));
   ASSERT_TRUE(RunUntil(context, [this] {
-    return caller->received().ends_with("not-run: customer-rate-limit\n");
+    return caller->received().ends_with("not-run: workspace-rate-limit\n");
   }));
   for (const char* const field :
        {"HTTP/1.1 429 ", "Bulrushmount-Outcome: not-run\r\n",
-        "Bulrushmount-Reason: customer-rate-limit\r\n", "Retry-After: 1\r\n",
+        "Bulrushmount-Reason: workspace-rate-limit\r\n", "Retry-After: 1\r\n",
         "Bulrushmount-Request-Id: "}) {
     EXPECT_NE(caller->received().find(field), std::string::npos) << field;
   }
--- a/source/unit_tests/core/transport/hostile_peer_test.cc
+++ b/source/unit_tests/core/transport/hostile_peer_test.cc
@@ -303,8 +303,8 @@
         WrongField{":path", "/a HTTP/1.1"},
         WrongField{":path", "/a\r\nX-A: 1"},
         WrongField{":method", "GET /b HTTP/1.1\r\n"},
-        WrongField{"bulrushmount-customer", "a\r\nX-A: 1"},
-        WrongField{"bulrushmount-customer", "a\nX-A: 1"},
+        WrongField{"bulrushmount-workspace", "a\r\nX-A: 1"},
+        WrongField{"bulrushmount-workspace", "a\nX-A: 1"},
         WrongField{"bulrushmount-request-id", "a\x01"}));
 
 // A line's end in a field split the request that the owner wrote to its target:
--- a/source/unit_tests/core/transport/node_driver_test.cc
+++ b/source/unit_tests/core/transport/node_driver_test.cc
@@ -225,7 +225,7 @@
     if (!events.events.empty()) {
       const auto& asked = std::get<OperatorRequested>(events.events[0]);
       EXPECT_EQ(asked.verb, OperatorVerb::kWrite);
-      EXPECT_EQ(asked.customer, CustomerName("studio"));
+      EXPECT_EQ(asked.workspace, WorkspaceName("studio"));
       EXPECT_EQ(asked.body, "body");
       EXPECT_EQ(asked.if_version, RowVersion(12));
       server.Do(AnswerOperator{asked.request, 201, "text/plain", "ok",
--- a/source/unit_tests/core/transport/node_stream_test.cc
+++ b/source/unit_tests/core/transport/node_stream_test.cc
@@ -271,7 +271,7 @@
   WorkHead& work = request.work;
   work.entry = NodeId(*rc::gen::arbitrary<std::uint64_t>());
   work.fingerprint = Fingerprint(*rc::gen::arbitrary<std::uint64_t>());
-  work.customer = CustomerName(*FieldValue());
+  work.workspace = WorkspaceName(*FieldValue());
   work.request_id = RequestId(*FieldValue());
   work.time_left =
       std::chrono::microseconds(*rc::gen::inRange<std::int64_t>(-5, 1 << 30));
@@ -287,7 +287,7 @@
   RC_ASSERT(back.has_value());
   RC_ASSERT(back->work.entry == work.entry);
   RC_ASSERT(back->work.fingerprint == work.fingerprint);
-  RC_ASSERT(back->work.customer == work.customer);
+  RC_ASSERT(back->work.workspace == work.workspace);
   RC_ASSERT(back->work.request_id == work.request_id);
   RC_ASSERT(back->work.time_left == work.time_left);
   RC_ASSERT(back->work.weight == work.weight);
--- a/source/unit_tests/core/transport/relay_test.cc
+++ b/source/unit_tests/core/transport/relay_test.cc
@@ -259,14 +259,14 @@
   caller->Send(
       "GET / HTTP/1.1\r\nHost: desk:80\r\nConnection: keep-alive, X-Mine\r\n"
       "X-Mine: 1\r\nX-Kept: 2\r\nBulrushmount-Shed: 1\r\n"
-      "Bulrushmount-Customer: studio\r\nBulrushmount-Request-Id: r-1\r\n"
+      "Bulrushmount-Workspace: studio\r\nBulrushmount-Request-Id: r-1\r\n"
       "Idempotency-Key: k\r\n\r\n");
   ASSERT_TRUE(RunUntilReceived("\r\n\r\n"));
   for (const char* const gone : {"X-Mine", "x-mine", "Shed", "Connection"}) {
     EXPECT_EQ(seen.find(gone), std::string::npos) << gone;
   }
   for (const char* const kept :
-       {": 2\r\n", "Bulrushmount-Customer: studio",
+       {": 2\r\n", "Bulrushmount-Workspace: studio",
         "Bulrushmount-Request-Id: r-1", "Bulrushmount-Deadline-Ms: "}) {
     EXPECT_NE(seen.find(kept), std::string::npos) << kept;
   }
--- a/source/unit_tests/core/transport/transport_test_support.cc
+++ b/source/unit_tests/core/transport/transport_test_support.cc
@@ -161,7 +161,7 @@
     WorkHead head;
     head.request_id = call->head.request_id;
     head.entry = NodeId(1);
-    head.customer = call->head.customer;
+    head.workspace = call->head.workspace;
     head.service = call->head.service;
     head.method = call->head.method;
     head.target = call->head.target;
@@ -271,7 +271,7 @@
 
 std::string Get(std::string_view target) {
   return "GET " + std::string(target) +
-         " HTTP/1.1\r\nHost: desk\r\nBulrushmount-Customer: studio\r\n\r\n";
+         " HTTP/1.1\r\nHost: desk\r\nBulrushmount-Workspace: studio\r\n\r\n";
 }
 
 }  // namespace bulrushmount::testing
