--- a/source/benchmarks/capacity_benchmark.cc
+++ b/source/benchmarks/capacity_benchmark.cc
@@ -33,7 +33,7 @@
 using std::chrono::seconds;
 
 constexpr std::array<std::string_view, kEventKinds> kEventNames = {
-    "call_arrived",           "caller_gone",          "attempt_refused",
+    "call_arrived",           "caller_disconnected",  "attempt_refused",
     "attempt_answer_begun",   "attempt_answer_ended", "attempt_lost",
     "answer_stalled",         "work_arrived",         "work_cancelled",
     "target_connect_failed",  "target_answer_begun",  "target_answer_ended",
--- a/source/benchmarks/policy_control.cc
+++ b/source/benchmarks/policy_control.cc
@@ -103,13 +103,13 @@
     target.life->OnTimer(m_now);
   PlanLifeTimer(index);
   const bool is_serving = target.life->IsServing();
-  if (is_serving == target.is_told_serving)
+  if (is_serving == target.is_reported_serving)
     return;
-  target.is_told_serving = is_serving;
+  target.is_reported_serving = is_serving;
   for (std::size_t entry = 0; entry < m_entries.size(); ++entry) {
     At(m_now + FromSeconds(m_random.Fraction()), [this, entry, index] {
       TargetPicker& picker = *m_entries[entry].picker;
-      if (m_targets[index].is_told_serving)
+      if (m_targets[index].is_reported_serving)
         picker.Update(CandidateFor(entry, index));
       else
         picker.Remove(IdOf(index));
--- a/source/benchmarks/policy_run.h
+++ b/source/benchmarks/policy_run.h
@@ -74,7 +74,7 @@
     std::unique_ptr<TargetLife> life;
     std::optional<TimePoint> life_timer;
     // As the entries were last told.
-    bool is_told_serving = true;
+    bool is_reported_serving = true;
   };
 
   // A call, and its one attempt on the way.
--- a/source/core/admission/admission.cc
+++ b/source/core/admission/admission.cc
@@ -53,7 +53,7 @@
 
 AdmissionOutput Admission::SetSlowdown(TimePoint now, double slowdown) {
   m_slowdown = slowdown;
-  m_usual.OnTold(now, slowdown);
+  m_usual.OnReported(now, slowdown);
   return Settle(now);
 }
 
@@ -84,7 +84,7 @@
                     .weight = request.weight,
                     .share = request.share,
                     .deadline = now + request.time_left,
-                    .patience_ends = now + PatienceOf(request),
+                    .max_wait_ends = now + MaxWaitOf(request),
                     .hold_ends = HoldEndOf(now, request),
                     .objective = ObjectiveOf(now, request),
                     .is_suspect = request.is_suspect};
@@ -171,7 +171,7 @@
       std::ceil(m_settings.queue_per_slot * Limit()));
 }
 
-Duration Admission::PatienceOf(const AdmissionRequest& request) const {
+Duration Admission::MaxWaitOf(const AdmissionRequest& request) const {
   const double waits = request.is_last_attempt && !IsOverloaded(request.rank)
                            ? m_settings.max_wait_of_last_attempt
                            : m_settings.max_wait;
@@ -211,7 +211,7 @@
   AdmissionOutput output;
   m_queue.NoteProspects(
       [this, now](const QueuedWork& work) { return ProspectOf(now, work); });
-  RefuseHopeless(now, output);
+  RefuseUnservable(now, output);
   StartWhatFits(now, output);
   RefuseOverflow(output);
   PlanWakeup(now);
@@ -235,13 +235,13 @@
   return is_likely ? Prospect::kLikely : Prospect::kPossible;
 }
 
-void Admission::RefuseHopeless(TimePoint now, AdmissionOutput& output) {
+void Admission::RefuseUnservable(TimePoint now, AdmissionOutput& output) {
   const double release_rate = ReleaseRate(now);
   const std::size_t first_new = output.refuse.size();
   std::size_t ahead = 0;
   for (const QueuedWork& work : m_queue.works()) {
     const Duration wait = ExpectedWait(release_rate, ahead);
-    if (const std::optional<Reason> reason = WhyHopeless(now, work, wait))
+    if (const std::optional<Reason> reason = WhyUnservable(now, work, wait))
       output.refuse.push_back({work.work, *reason});
     else
       ++ahead;
@@ -330,16 +330,16 @@
 
 TimePoint Admission::LatestStart(const QueuedWork& work) const {
   const Duration needed = m_service_times.FirstByte(work.kind, work.weight);
-  return std::min(work.deadline - needed, work.patience_ends);
+  return std::min(work.deadline - needed, work.max_wait_ends);
 }
 
 bool Admission::IsBlocked(const QueuedWork& work) const {
   return work.is_suspect && m_suspects_running > 0;
 }
 
-std::optional<Reason> Admission::WhyHopeless(TimePoint now,
-                                             const QueuedWork& work,
-                                             Duration wait) const {
+std::optional<Reason> Admission::WhyUnservable(TimePoint now,
+                                               const QueuedWork& work,
+                                               Duration wait) const {
   if (work.deadline <= now)
     return Reason::kDeadlineTooShort;
   if (work.hold_ends && *work.hold_ends <= now)
--- a/source/core/admission/admission.h
+++ b/source/core/admission/admission.h
@@ -179,13 +179,13 @@
   bool IsOverloaded(Rank rank) const;
   std::uint32_t Limit() const;
   std::size_t MaxQueue() const;
-  Duration PatienceOf(const AdmissionRequest& request) const;
+  Duration MaxWaitOf(const AdmissionRequest& request) const;
   void NoteQueue(TimePoint now);
 
   // Brings queue and slots in order after any event.
   AdmissionOutput Settle(TimePoint now);
   Prospect ProspectOf(TimePoint now, const QueuedWork& work) const;
-  void RefuseHopeless(TimePoint now, AdmissionOutput& output);
+  void RefuseUnservable(TimePoint now, AdmissionOutput& output);
   void StartWhatFits(TimePoint now, AdmissionOutput& output);
   void RefuseOverflow(AdmissionOutput& output);
   void PlanWakeup(TimePoint now);
@@ -202,9 +202,9 @@
   // Whether it cannot start although a slot is free.
   bool IsBlocked(const QueuedWork& work) const;
   // Empty while the work may wait or start.
-  std::optional<Reason> WhyHopeless(TimePoint now,
-                                    const QueuedWork& work,
-                                    Duration wait) const;
+  std::optional<Reason> WhyUnservable(TimePoint now,
+                                      const QueuedWork& work,
+                                      Duration wait) const;
 
   AdmissionSettings m_settings;
   std::unique_ptr<ConcurrencyLimit> m_limit;
--- a/source/core/admission/admission_queue.h
+++ b/source/core/admission/admission_queue.h
@@ -38,7 +38,7 @@
   // When the first byte of the answer must come.
   TimePoint deadline;
   // Waits no longer than this, whatever the deadline.
-  TimePoint patience_ends;
+  TimePoint max_wait_ends;
   // Refused from then on; empty if it may wait as long as others.
   std::optional<TimePoint> hold_ends{};
   // An answer after this is worth little; empty if none is better than another.
--- a/source/core/admission/start_estimate.h
+++ b/source/core/admission/start_estimate.h
@@ -39,16 +39,16 @@
   // below its knee.
   std::uint32_t slots = 0;
   // By the target's own word; 1 without one.
-  double told_slowdown = 1.0;
-  bool is_told = false;
+  double reported_slowdown = 1.0;
+  bool is_reported = false;
   bool is_cold = false;
 };
 
 inline double EstimateSlowdown(const StartConditions& conditions) {
   const double limit = std::max(1U, conditions.limit);
   const double with_it = conditions.in_flight + conditions.queued + 1;
-  double slowdown = conditions.told_slowdown;
-  if (conditions.is_cold && !conditions.is_told)
+  double slowdown = conditions.reported_slowdown;
+  if (conditions.is_cold && !conditions.is_reported)
     slowdown = kColdSlowdown;
   // No more than the limit run beside it, so a target that is kept below its
   // knee never crowds.
@@ -57,7 +57,7 @@
   // While the limit is reached, one ends in each part of the usual time that
   // falls to one of them, and the next may start.
   if (with_it > limit)
-    slowdown += conditions.told_slowdown * (with_it - limit) / limit;
+    slowdown += conditions.reported_slowdown * (with_it - limit) / limit;
   return slowdown;
 }
 
--- a/source/core/admission/usual_speed.h
+++ b/source/core/admission/usual_speed.h
@@ -17,7 +17,7 @@
  public:
   explicit UsualSpeed(Duration window) : m_window(window) {}
 
-  void OnTold(TimePoint now, double slowdown) {
+  void OnReported(TimePoint now, double slowdown) {
     if (!m_current || now - m_begun >= m_window) {
       // A window without a word says nothing of the one before it.
       m_previous =
--- a/source/core/claims/write_batcher.cc
+++ b/source/core/claims/write_batcher.cc
@@ -108,30 +108,30 @@
                            const TableReply& reply) {
   switch (reply.status) {
     case TableStatus::kOk:
-      TellWritten(now, batch, reply);
+      ReportWritten(now, batch, reply);
       return;
     case TableStatus::kConditionFailed:
       Split(now, std::move(batch), reply);
       return;
     case TableStatus::kUnknown:
-      TellAll(now, batch, WriteStatus::kUnknown);
+      NotifyAll(now, batch, WriteStatus::kUnknown);
       return;
     case TableStatus::kUnavailable:
-      TellAll(now, batch, WriteStatus::kUnavailable);
+      NotifyAll(now, batch, WriteStatus::kUnavailable);
       return;
   }
 }
 
-void WriteBatcher::TellAll(TimePoint now,
-                           const Batch& batch,
-                           WriteStatus status) {
+void WriteBatcher::NotifyAll(TimePoint now,
+                             const Batch& batch,
+                             WriteStatus status) {
   for (const RowWrite& write : batch)
     m_listener.OnWriteEnded(now, write.claim, {status, kNoRow, std::nullopt});
 }
 
-void WriteBatcher::TellWritten(TimePoint now,
-                               const Batch& batch,
-                               const TableReply& reply) {
+void WriteBatcher::ReportWritten(TimePoint now,
+                                 const Batch& batch,
+                                 const TableReply& reply) {
   for (const RowWrite& write : batch) {
     const Row* row = FindRow(reply, write.key);
     WriteResult result;
--- a/source/core/claims/write_batcher.h
+++ b/source/core/claims/write_batcher.h
@@ -99,8 +99,10 @@
   void TakeFrom(Queue& queue, Batch& batch) const;
   void Send(TimePoint now, Batch batch);
   void OnReply(TimePoint now, Batch batch, const TableReply& reply);
-  void TellAll(TimePoint now, const Batch& batch, WriteStatus status);
-  void TellWritten(TimePoint now, const Batch& batch, const TableReply& reply);
+  void NotifyAll(TimePoint now, const Batch& batch, WriteStatus status);
+  void ReportWritten(TimePoint now,
+                     const Batch& batch,
+                     const TableReply& reply);
   void Split(TimePoint now, Batch batch, const TableReply& reply);
 
   const ClaimSettings& m_settings;
--- a/source/core/common/log_buffer.cc
+++ b/source/core/common/log_buffer.cc
@@ -48,7 +48,7 @@
     ++m_dropped_total;
     return;
   }
-  TellDropped();
+  ReportDropped();
   m_waiting += line;
   if (!m_is_buffered || m_waiting.size() >= kFlushSize)
     Flush();
@@ -79,11 +79,11 @@
   return true;
 }
 
-void LogBuffer::TellDropped() {
+void LogBuffer::ReportDropped() {
   const std::int64_t now = SteadyNanoseconds();
-  if (m_dropped == 0 || now - m_told_at < kTellPeriodNs)
+  if (m_dropped == 0 || now - m_reported_at < kTellPeriodNs)
     return;
-  m_told_at = now;
+  m_reported_at = now;
   m_waiting +=
       fmt::format("level=warning event=log.dropped lines={}\n", m_dropped);
   m_dropped = 0;
--- a/source/core/common/log_buffer.h
+++ b/source/core/common/log_buffer.h
@@ -29,7 +29,7 @@
  private:
   bool TakeCredit(std::size_t size);
   // Into the log itself, once there is room again.
-  void TellDropped();
+  void ReportDropped();
   bool IsWritable() const;
 
   int m_file;
@@ -38,7 +38,7 @@
   std::string m_waiting;
   // Not yet told.
   std::uint64_t m_dropped = 0;
-  std::int64_t m_told_at = 0;
+  std::int64_t m_reported_at = 0;
   std::uint64_t m_dropped_total = 0;
   // Bytes that may go out now, as of the time in steady nanoseconds.
   double m_credit = 0;
--- a/source/core/common/outcome.h
+++ b/source/core/common/outcome.h
@@ -56,7 +56,7 @@
   kNodeLost = 24,
   kDeadlineExceeded = 25,
   kStalled = 26,
-  kCallerGone = 27,
+  kCallerDisconnected = 27,
   kShutdownForced = 28,
   // State of the system: it was running when a target went down, and may run
   // only alone until that is settled. Not convicted, so it is worth coming
--- a/source/core/contracts/config_sync.cc
+++ b/source/core/contracts/config_sync.cc
@@ -88,10 +88,10 @@
                                 const Endpoint& endpoint,
                                 Revision revision) {
   m_peers[endpoint] = Peer{node, revision};
-  HearRevision(now, endpoint, revision);
+  OnRevisionReported(now, endpoint, revision);
 }
 
-void ConfigSync::OnPeerGone(const Endpoint& endpoint) {
+void ConfigSync::OnPeerRemoved(const Endpoint& endpoint) {
   m_peers.erase(endpoint);
 }
 
@@ -181,9 +181,9 @@
 
 // --- Hearing and telling ----------------------------------------------------
 
-void ConfigSync::HearRevision(TimePoint now,
-                              const Endpoint& from,
-                              Revision revision) {
+void ConfigSync::OnRevisionReported(TimePoint now,
+                                    const Endpoint& from,
+                                    Revision revision) {
   if (revision.value() <= m_store.revision().value())
     return;
   if (revision.value() > m_target.value())
@@ -207,7 +207,7 @@
   if (peer != m_peers.end())
     peer->second.revision = pulse.revision;
   if (pulse.revision.value() > m_store.revision().value())
-    return HearRevision(now, from, pulse.revision);
+    return OnRevisionReported(now, from, pulse.revision);
   if (pulse.revision.value() < m_store.revision().value())
     SendPulse(now, from);
   // What the peer knew not to be followed by anything newer is not newer than
@@ -363,7 +363,7 @@
 }
 
 void ConfigSync::OnTableRead(TimePoint now, const ConfigReadResult& result) {
-  NoteTable(now, result.is_ok);
+  RecordTableState(now, result.is_ok);
   const bool was_fetch = m_fetch_state == FetchState::kTableReading;
   if (!result.is_ok) {
     if (!was_fetch)
@@ -397,12 +397,12 @@
 }
 
 // One line when the table is lost, and one when it is back.
-void ConfigSync::NoteTable(TimePoint now, bool is_well) {
-  if (is_well == m_is_table_well)
+void ConfigSync::RecordTableState(TimePoint now, bool is_available) {
+  if (is_available == m_is_table_available)
     return;
-  m_is_table_well = is_well;
-  LogLine line(is_well ? LogLevel::kInfo : LogLevel::kWarning,
-               is_well ? "dependency.regained" : "dependency.lost");
+  m_is_table_available = is_available;
+  LogLine line(is_available ? LogLevel::kInfo : LogLevel::kWarning,
+               is_available ? "dependency.regained" : "dependency.lost");
   line.Add("dependency", "table").Add("revision", m_store.revision());
   if (const std::optional<Duration> age = AgeOfConfirmation(now))
     line.Add("confirmed_ms_ago", ToMilliseconds(*age));
@@ -420,7 +420,7 @@
 
 void ConfigSync::OnWatched(TimePoint now, const ConfigReadResult& result) {
   m_is_watching = false;
-  NoteTable(now, result.is_ok);
+  RecordTableState(now, result.is_ok);
   if (result.is_ok) {
     m_confirmed_at = std::max(m_confirmed_at.value_or(now), now);
     if (result.batch.has_value())
--- a/source/core/contracts/config_sync.h
+++ b/source/core/contracts/config_sync.h
@@ -79,7 +79,7 @@
   void OnPeersExpected(TimePoint now, bool are_likely);
 
   // The last answer of the table made sense, or none came yet.
-  bool is_table_well() const { return m_is_table_well; }
+  bool is_table_available() const { return m_is_table_available; }
 
   // Live members with this node; at least 1. Spreads the polls.
   void SetMemberCount(TimePoint now, std::size_t count);
@@ -90,7 +90,7 @@
                       const Endpoint& endpoint,
                       Revision revision);
   // The peer has left or died.
-  void OnPeerGone(const Endpoint& endpoint);
+  void OnPeerRemoved(const Endpoint& endpoint);
 
   // A change written through this node has been committed.
   void OnLocalCommit(TimePoint now, const ConfigChange& change);
@@ -105,7 +105,7 @@
 
   // The newest revision that this node has heard of; above the store's while it
   // fetches.
-  Revision newest_heard() const {
+  Revision newest_known() const {
     return m_target.value() > m_store.revision().value() ? m_target
                                                          : m_store.revision();
   }
@@ -139,7 +139,9 @@
   Duration Exponential(Duration mean);
   Duration UpTo(Duration bound);
 
-  void HearRevision(TimePoint now, const Endpoint& from, Revision revision);
+  void OnRevisionReported(TimePoint now,
+                          const Endpoint& from,
+                          Revision revision);
   void OnPulse(TimePoint now, const Endpoint& from, const RevisionPulse& pulse);
   void OnChunk(TimePoint now, const Endpoint& from, const BatchChunk& chunk);
   void SendPulse(TimePoint now, const Endpoint& to);
@@ -154,7 +156,7 @@
 
   // The answer to a watch comes with the change, and an idle watcher asks once
   // in kWatchTime.
-  void NoteTable(TimePoint now, bool is_well);
+  void RecordTableState(TimePoint now, bool is_available);
   void StartWatch(TimePoint now);
   void ResumeWatching(TimePoint now);
   void OnWatched(TimePoint now, const ConfigReadResult& result);
@@ -195,7 +197,7 @@
   bool m_is_on_duty = false;
   bool m_is_watching = false;
   // The last answer of the table made sense.
-  bool m_is_table_well = true;
+  bool m_is_table_available = true;
   TimePoint m_read_started;
   std::optional<TimePoint> m_confirmed_at;
 };
--- a/source/core/contracts/contract_yaml.cc
+++ b/source/core/contracts/contract_yaml.cc
@@ -239,6 +239,7 @@
 Contract ReadContract(const YamlNode& root, YamlFaults& faults) {
   Contract contract;
   YamlMapReader map(root, faults);
+  map.Renamed("customer", "workspace");
   contract.workspace =
       WorkspaceName(ReadName(map.Required("workspace"), faults).value_or(""));
   if (contract.workspace.value() == kMeasurementWorkspace)
--- a/source/core/contracts/watch_duty.cc
+++ b/source/core/contracts/watch_duty.cc
@@ -10,7 +10,7 @@
 WatchDuty::WatchDuty(const WatchDutySettings& settings,
                      NodeId self,
                      TimePoint now)
-    : m_settings(settings), m_self(self), m_heard_at(now) {}
+    : m_settings(settings), m_self(self), m_last_contact(now) {}
 
 void WatchDuty::SetMembers(TimePoint now,
                            const std::vector<WatchCandidate>& members) {
@@ -52,13 +52,13 @@
 }
 
 bool WatchDuty::IsOnDuty(TimePoint now) const {
-  return HasSettled(now) || now - m_heard_at >= m_settings.longest_silence;
+  return HasSettled(now) || now - m_last_contact >= m_settings.longest_silence;
 }
 
 TimePoint WatchDuty::NextChange(TimePoint now) const {
   if (IsOnDuty(now))
     return TimePoint::max();
-  const TimePoint silent_at = m_heard_at + m_settings.longest_silence;
+  const TimePoint silent_at = m_last_contact + m_settings.longest_silence;
   if (!m_chosen_since)
     return silent_at;
   return std::min(silent_at, *m_chosen_since + m_settings.settling_time);
--- a/source/core/contracts/watch_duty.h
+++ b/source/core/contracts/watch_duty.h
@@ -54,7 +54,7 @@
   void SetMembers(TimePoint now, const std::vector<WatchCandidate>& members);
 
   // A datagram of another node has come.
-  void OnPeerHeard(TimePoint now) { m_heard_at = now; }
+  void OnPeerContact(TimePoint now) { m_last_contact = now; }
 
   bool IsOnDuty(TimePoint now) const;
 
@@ -68,7 +68,7 @@
   const WatchDutySettings m_settings;
   const NodeId m_self;
   // Of the start, until another node was heard.
-  TimePoint m_heard_at;
+  TimePoint m_last_contact;
   // Set while chosen; the members known then.
   std::optional<TimePoint> m_chosen_since;
   std::size_t m_members_then = 0;
--- a/source/core/membership/dissemination.cc
+++ b/source/core/membership/dissemination.cc
@@ -176,9 +176,9 @@
     }
     return;
   }
-  const bool is_accusation =
+  const bool is_suspicion =
       Precedes(news.incarnation, news.state, self().incarnation, self().state);
-  if (!is_accusation || IsLeaving()) {
+  if (!is_suspicion || IsLeaving()) {
     return;
   }
   ++m_counters.refutations;
--- a/source/core/membership/failure_detection.cc
+++ b/source/core/membership/failure_detection.cc
@@ -58,7 +58,7 @@
       RetryProbe(now, it->first, probe);
     }
     if (now >= probe.give_up_at) {
-      Accuse(now, probe);
+      StartSuspicion(now, probe);
       it = m_probes.erase(it);
     } else {
       ++it;
@@ -131,7 +131,7 @@
   return helpers;
 }
 
-void Membership::Accuse(TimePoint now, const Probe& probe) {
+void Membership::StartSuspicion(TimePoint now, const Probe& probe) {
   if (probe.helpers > 0 && probe.nacks == 0) {
     // Not even a helper was heard: more likely this node is the deaf one.
     m_health.Worsen();
@@ -149,8 +149,8 @@
   Suspicion& suspicion = m_suspicions[target->id];
   suspicion.due = std::min(suspicion.due,
                            now + m_health.Stretch(m_settings.suspicion_time));
-  if (!suspicion.is_accuser) {
-    suspicion.is_accuser = true;
+  if (!suspicion.is_initiator) {
+    suspicion.is_initiator = true;
     suspicion.next_ping = now;
   }
 }
@@ -173,19 +173,19 @@
 void Membership::CheckSuspicions(TimePoint now) {
   std::vector<NodeId> due;
   for (auto& [id, suspicion] : m_suspicions) {
-    if (now >= suspicion.due && suspicion.is_accuser) {
+    if (now >= suspicion.due && suspicion.is_initiator) {
       due.push_back(id);
       continue;
     }
     if (now >= suspicion.due) {
-      // Neither the accuser's verdict nor a refutation came, perhaps because
+      // Neither the initiator's verdict nor a refutation came, perhaps because
       // it was lost on the way here. Hearsay alone condemns nobody.
-      suspicion.is_accuser = true;
+      suspicion.is_initiator = true;
       suspicion.due = now + m_health.Stretch(m_settings.suspicion_time);
       suspicion.next_ping = now;
     }
-    if (suspicion.is_accuser && now >= suspicion.next_ping) {
-      // The ping carries the accusation, so that the accused can refute it
+    if (suspicion.is_initiator && now >= suspicion.next_ping) {
+      // The ping carries the accusation, so that the suspects can refute it
       // although every other datagram to it should be lost.
       suspicion.next_ping = now + m_settings.heartbeat_period / 2;
       Ping(now, *m_table.Find(id), m_next_sequence++);
@@ -257,8 +257,8 @@
                        const Endpoint& from,
                        const gossip::Gossip& in) {
   const NodeId subject(in.subject());
-  const bool is_own_word = in.sender() == in.subject();
-  if (is_own_word && IsStale(in)) {
+  const bool is_own_report = in.sender() == in.subject();
+  if (is_own_report && IsStale(in)) {
     detail::GossipWriter writer = NewMessage(gossip::Gossip::NEWS, 0);
     writer.message().set_wants_record(true);
     Send(from, writer);
--- a/source/core/membership/member_directory.cc
+++ b/source/core/membership/member_directory.cc
@@ -26,7 +26,7 @@
 constexpr std::size_t kNewestRows = 64;
 // Of the addresses tried in vain, so many tell that nearly all rows are of
 // nodes that are gone.
-constexpr std::size_t kTellingTries = 2 * kMaxFound;
+constexpr std::size_t kMaxDiscoveryTries = 2 * kMaxFound;
 // Who knows more members than this has found the fleet.
 constexpr std::size_t kEnoughMet = 8;
 // The first wait of a node that met nobody; it doubles up to lone_interval.
@@ -241,7 +241,7 @@
   void GoOnMeeting(TimePoint now) {
     next_offer = now + settings.meeting_time;
     if (is_alone && renewals == 0 &&
-        offered >= std::min(found.size(), kTellingTries)) {
+        offered >= std::min(found.size(), kMaxDiscoveryTries)) {
       must_rescan = true;
       next_renewal = now;
     }
@@ -396,7 +396,7 @@
   return m_state->has_left;
 }
 
-void MemberDirectory::OnTableWell(TimePoint now) {
+void MemberDirectory::OnTableAvailable(TimePoint now) {
   State& state = *m_state;
   if (state.is_alone || !state.rows_found) {
     state.next_scan = std::min(state.next_scan, now);
--- a/source/core/membership/member_directory.h
+++ b/source/core/membership/member_directory.h
@@ -76,7 +76,7 @@
 
   // The table has answered another part of this node after a failure: a node
   // that still waits to try again need not wait any longer.
-  void OnTableWell(TimePoint now);
+  void OnTableAvailable(TimePoint now);
 
   // Addresses to try next, for Membership::Introduce: a few of nodes that
   // `table` does not know, those with the newest rows first. Empty if none is
--- a/source/core/membership/member_lifecycle.cc
+++ b/source/core/membership/member_lifecycle.cc
@@ -67,7 +67,7 @@
   }
 }
 
-void MemberLifecycle::OnPeerHeard() {
+void MemberLifecycle::OnPeerContact() {
   m_machine->process_event(PeerHeard());
 }
 
--- a/source/core/membership/member_lifecycle.h
+++ b/source/core/membership/member_lifecycle.h
@@ -18,7 +18,7 @@
   MemberPhase phase() const;
 
   // Another live member has answered.
-  void OnPeerHeard();
+  void OnPeerContact();
   // After a long pause: the node must be heard again before it is a member.
   void OnIsolated();
   void OnLeaveRequested();
--- a/source/core/membership/membership.cc
+++ b/source/core/membership/membership.cc
@@ -95,7 +95,7 @@
   }
   for (const auto& [id, suspicion] : m_suspicions) {
     next = std::min(next, suspicion.due);
-    if (suspicion.is_accuser) {
+    if (suspicion.is_initiator) {
       next = std::min(next, suspicion.next_ping);
     }
   }
@@ -121,10 +121,10 @@
   const Incarnation own_before = self().incarnation;
   TakeNews(now, *in);
   if (m_lifecycle.phase() == MemberPhase::kJoining) {
-    m_lifecycle.OnPeerHeard();
+    m_lifecycle.OnPeerContact();
   }
   const bool is_ping = in->type() == gossip::Gossip::PING;
-  // An ack brings the own record anyway; who accused otherwise gets it here.
+  // An ack brings the own record anyway; who suspects otherwise gets it here.
   const bool was_accused = self().incarnation != own_before && !is_ping;
   if (in->wants_record() || was_accused) {
     SendOwnRecord(now, from, sender);
@@ -271,7 +271,7 @@
   m_probes.clear();
   m_relays.clear();
   for (auto& [id, suspicion] : m_suspicions) {
-    suspicion.is_accuser = false;
+    suspicion.is_initiator = false;
     suspicion.due =
         now + m_settings.suspicion_time * m_settings.bystander_factor;
   }
--- a/source/core/membership/membership.h
+++ b/source/core/membership/membership.h
@@ -116,10 +116,10 @@
 
   struct Suspicion {
     Incarnation incarnation;
-    // The accuser's verdict; a bystander becomes an accuser then.
+    // The initiator's verdict; a bystander becomes an initiator then.
     TimePoint due;
     // This node itself goes on trying the member until the verdict.
-    bool is_accuser = false;
+    bool is_initiator = false;
     TimePoint next_ping;
   };
 
@@ -143,7 +143,7 @@
   void RetryProbe(TimePoint now, std::uint32_t sequence, Probe& probe);
   void AskOthers(std::uint32_t sequence, Probe& probe);
   MemberTable::Pointers PickHelpers(const Member& target);
-  void Accuse(TimePoint now, const Probe& probe);
+  void StartSuspicion(TimePoint now, const Probe& probe);
   void CheckRelays(TimePoint now);
   void CheckSuspicions(TimePoint now);
   void DeclareDead(TimePoint now, NodeId id);
--- a/source/core/membership/membership_settings.h
+++ b/source/core/membership/membership_settings.h
@@ -21,10 +21,10 @@
   Duration indirect_timeout = std::chrono::milliseconds(800);
   std::size_t indirect_helpers = 3;
   Duration direct_retry_interval = std::chrono::milliseconds(100);
-  // From suspicion to death at the accuser, unless refuted.
+  // From suspicion to death at the initiator, unless refuted.
   Duration suspicion_time = std::chrono::seconds(2);
   // Who only heard of the suspicion leaves this many times as long to the
-  // accuser; then it tries the member itself, and so becomes an accuser.
+  // initiator; then it tries the member itself, and so becomes an initiator.
   int bystander_factor = 2;
   // Every nth heartbeat goes to another region.
   std::size_t far_heartbeat_interval = 5;
--- a/source/core/node_logic/call_types.h
+++ b/source/core/node_logic/call_types.h
@@ -56,7 +56,7 @@
   // 0 is the most urgent. Orders the works that wait for one target.
   std::uint32_t priority = 0;
   // The owner refuses if the target would take longer than this multiple of
-  // its usual time: the entry hopes for a faster one. 0: takes any.
+  // its usual time: the entry threshold for a faster one. 0: takes any.
   double max_slowdown = 0;
   // How long the owner may keep the request for a start that is not slow,
   // before it refuses.
@@ -66,14 +66,15 @@
 };
 
 // What a target says of itself with an answer, as of that moment.
-struct TargetFigures {
+struct TargetLoadSample {
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
   std::uint32_t slots = 0;
   // How long work takes now, as a multiple of the usual.
   double slowdown = 1.0;
 
-  friend bool operator==(const TargetFigures&, const TargetFigures&) = default;
+  friend bool operator==(const TargetLoadSample&,
+                         const TargetLoadSample&) = default;
 };
 
 // An owner's exact load at one moment, sent with every answer and refusal.
--- a/source/core/node_logic/entry_side.cc
+++ b/source/core/node_logic/entry_side.cc
@@ -10,7 +10,7 @@
 #include "core/pipeline/contract_filter.h"
 #include "core/pipeline/limit_filter.h"
 #include "core/pipeline/quarantine_filter.h"
-#include "core/pipeline/return_advice.h"
+#include "core/pipeline/retry_after_policy.h"
 #include "core/pipeline/route_filter.h"
 #include "core/pipeline/throttle_filter.h"
 #include "core/routing/decaying_retry_budget.h"
@@ -28,9 +28,9 @@
   dispatcher.max_attempts = settings.max_attempts;
   dispatcher.is_refusal_free = settings.is_refusal_free;
   const PolicySwitches& policies = settings.policies;
-  dispatcher.choosy_attempts =
-      policies.choosy_starts ? settings.choosy_attempts : 0;
-  dispatcher.accepts_hardly_worse = policies.best_told_starts;
+  dispatcher.selective_attempts =
+      policies.selective_starts ? settings.selective_attempts : 0;
+  dispatcher.accepts_hardly_worse = policies.best_reported_starts;
   dispatcher.leaves_silent_owners = policies.leave_silent;
   dispatcher.bounds_refusals = settings.is_refusal_free && policies.ask_budget;
   dispatcher.has_objectives = settings.has_route_document;
@@ -61,7 +61,7 @@
           Dispatcher::Parts{m_pipeline, parts.router, *m_retries, parts.claims,
                             parts.owners, parts.random, parts.actions}),
       m_has_route_document(settings.has_route_document),
-      m_advises_return(settings.policies.return_advice) {
+      m_has_retry_after_policy(settings.policies.retry_after) {
   AddFilters(settings);
 }
 
@@ -74,7 +74,7 @@
   if (now >= m_refuse_from) {
     m_parts.actions.Push(AnswerCaller{event.call, Outcome::kNotRun,
                                       Reason::kDraining,
-                                      AdviceFor(Reason::kDraining)});
+                                      RetryAfterFor(Reason::kDraining)});
     return;
   }
   m_pipeline.Start(now, event.call, std::move(event.head));
@@ -114,7 +114,7 @@
 void EntrySide::AddFilters(const NodeSettings& settings) {
   if (m_has_route_document) {
     m_pipeline.AddFilter(std::make_unique<RouteFilter>(
-        m_parts.routes, m_pipeline, settings.policies.caller_patience));
+        m_parts.routes, m_pipeline, settings.policies.retry_detector));
   } else {
     m_pipeline.AddFilter(
         std::make_unique<ContractFilter>(m_parts.contracts, m_pipeline));
@@ -140,19 +140,19 @@
         call.id, end.answer.status, end.answer.content_type, end.answer.body});
     return;
   }
-  if (end.outcome == Outcome::kAnswered || call.is_caller_gone)
+  if (end.outcome == Outcome::kAnswered || call.is_caller_disconnected)
     return;
   if (call.answer_begun_at)
     m_parts.actions.Push(BreakAnswer{call.id});
   else
-    m_parts.actions.Push(
-        AnswerCaller{call.id, end.outcome, end.reason, AdviceFor(end.reason)});
+    m_parts.actions.Push(AnswerCaller{call.id, end.outcome, end.reason,
+                                      RetryAfterFor(end.reason)});
 }
 
-std::optional<Duration> EntrySide::AdviceFor(Reason reason) const {
-  if (!m_advises_return)
+std::optional<Duration> EntrySide::RetryAfterFor(Reason reason) const {
+  if (!m_has_retry_after_policy)
     return std::nullopt;
-  return AdviseReturn(reason, m_parts.random);
+  return DrawRetryAfter(reason, m_parts.random);
 }
 
 void EntrySide::Record(TimePoint now, const Call& call, const CallEnd& end) {
@@ -168,7 +168,7 @@
       .Add("hand_overs", call.hand_overs)
       .Add("last_refusal", TraitsOf(call.last_refusal).token)
       .Add("throttled_share", call.throttled_share)
-      .Add("told_ms",
+      .Add("client_timeout_ms",
            ToMilliseconds(call.head.deadline.value_or(Duration::zero())))
       .Add("waited_before_ms", ToMilliseconds(call.waited_before))
       .Add("ms", ToMilliseconds(now - call.arrived_at));
--- a/source/core/node_logic/entry_side.h
+++ b/source/core/node_logic/entry_side.h
@@ -78,7 +78,7 @@
 
   void AddFilters(const NodeSettings& settings);
   // When the refused caller had best come back; empty: as the reason says.
-  std::optional<Duration> AdviceFor(Reason reason) const;
+  std::optional<Duration> RetryAfterFor(Reason reason) const;
   void Answer(const Call& call, const CallEnd& end);
   void Record(TimePoint now, const Call& call, const CallEnd& end);
 
@@ -89,7 +89,7 @@
   ThrottleFilter* m_throttle = nullptr;
   Dispatcher m_dispatcher;
   bool m_has_route_document = false;
-  bool m_advises_return = true;
+  bool m_has_retry_after_policy = true;
   TimePoint m_refuse_from = TimePoint::max();
   TimePoint m_ends_at = TimePoint::max();
   TimePoint m_last_arrival = TimePoint::min();
--- a/source/core/node_logic/events.h
+++ b/source/core/node_logic/events.h
@@ -27,7 +27,7 @@
 };
 
 // The caller closed its connection or cancelled; nothing can be told to it.
-struct CallerGone {
+struct CallerDisconnected {
   CallId call;
 };
 
@@ -112,7 +112,7 @@
   // The same, since the request was meant for another target.
   bool is_wrong_target = false;
   // Empty if the target tells nothing of its load.
-  std::optional<TargetFigures> figures{};
+  std::optional<TargetLoadSample> load_sample{};
 };
 
 struct TargetAnswerEnded {
@@ -149,7 +149,7 @@
 };
 
 // A target's word could not be read. It opens and closes nothing.
-struct TargetWordRefused {
+struct TargetReportRefused {
   InstanceId instance;
   // For the log: which field, and what it must be.
   std::string fault;
@@ -161,7 +161,7 @@
   Duration latency{};
   // Empty if the target does not tell.
   InstanceId instance{};
-  std::optional<TargetFigures> figures{};
+  std::optional<TargetLoadSample> load_sample{};
 };
 
 struct ProbeFailed {
@@ -200,7 +200,7 @@
 struct ShutdownRequested {};
 
 using NodeEvent = std::variant<CallArrived,
-                               CallerGone,
+                               CallerDisconnected,
                                AttemptRefused,
                                AttemptAnswerBegun,
                                AttemptAnswerEnded,
@@ -217,7 +217,7 @@
                                TargetWithdrawn,
                                TargetHeartbeat,
                                TargetDeparted,
-                               TargetWordRefused,
+                               TargetReportRefused,
                                ProbeAnswered,
                                ProbeFailed,
                                DatagramArrived,
--- a/source/core/node_logic/broken_exchanges.cc
+++ b/source/core/node_logic/failed_exchanges.cc
@@ -1,6 +1,6 @@
-// Part of `broken_exchanges.h`.
+// Part of `failed_exchanges.h`.
 
-#include "core/node_logic/broken_exchanges.h"
+#include "core/node_logic/failed_exchanges.h"
 
 #include <chrono>
 #include <cstddef>
@@ -17,25 +17,25 @@
 
 }  // namespace
 
-void BrokenExchanges::Note(TimePoint now, const AdmittedWork& work) {
+void FailedExchanges::Note(TimePoint now, const AdmittedWork& work) {
   Forget(now);
   if (m_works.size() >= kMostKept)
     m_works.pop_front();
   m_works.push_back({now, work});
 }
 
-std::vector<AdmittedWork> BrokenExchanges::TakeRecent(TimePoint now) {
+std::vector<AdmittedWork> FailedExchanges::TakeRecent(TimePoint now) {
   Forget(now);
   std::vector<AdmittedWork> recent;
   recent.reserve(m_works.size());
-  for (const BrokenWork& broken : m_works)
+  for (const FailedWork& broken : m_works)
     recent.push_back(broken.work);
   m_works.clear();
   return recent;
 }
 
-void BrokenExchanges::Forget(TimePoint now) {
-  std::erase_if(m_works, [now](const BrokenWork& broken) {
+void FailedExchanges::Forget(TimePoint now) {
+  std::erase_if(m_works, [now](const FailedWork& broken) {
     return now - broken.at > kCrashNoticedWithin;
   });
 }
--- a/source/core/node_logic/node.cc
+++ b/source/core/node_logic/node.cc
@@ -175,7 +175,7 @@
 TimePoint Node::NextLeaveStep() const {
   if (!m_leaving_since || m_has_exited)
     return TimePoint::max();
-  if (m_has_told_leaving)
+  if (m_has_announced_leave)
     return *m_leaving_since + m_settings.longest_leave - kEndMargin;
   return std::max(*m_leaving_since + m_settings.leave_time,
                   m_event_time + kQuietTime);
@@ -224,8 +224,8 @@
   m_entry.OnCallArrived(now, std::move(event));
 }
 
-void Node::On(TimePoint now, const CallerGone& event) {
-  m_entry.dispatcher().OnCallerGone(now, event.call);
+void Node::On(TimePoint now, const CallerDisconnected& event) {
+  m_entry.dispatcher().OnCallerDisconnected(now, event.call);
 }
 
 void Node::On(TimePoint now, const AttemptRefused& event) {
@@ -294,8 +294,8 @@
   m_owner.OnDeparted(now, event);
 }
 
-void Node::On(TimePoint now, const TargetWordRefused& event) {
-  m_owner.OnWordRefused(now, event);
+void Node::On(TimePoint now, const TargetReportRefused& event) {
+  m_owner.OnReportRefused(now, event);
 }
 
 void Node::On(TimePoint now, const ProbeAnswered& event) {
@@ -319,7 +319,7 @@
       std::string_view(event.bytes).substr(sizeof(DatagramKind));
   switch (static_cast<DatagramKind>(event.bytes.front())) {
     case DatagramKind::kGossip:
-      m_watch_duty.OnPeerHeard(now);
+      m_watch_duty.OnPeerContact(now);
       m_membership.OnDatagram(now, event.from, payload);
       break;
     case DatagramKind::kLimits:
@@ -365,7 +365,7 @@
   m_leaving_since = now;
   m_entry.Drain(now + LongestService(), LastAnswerAt(now));
   m_owner.Drain(now);
-  LeaveWhenHeard(now);
+  AnnounceLeaveWhenIdle(now);
   LogLine(LogLevel::kInfo, "node.leaving")
       .Add("calls", m_entry.size())
       .Add("works", m_owner.size());
@@ -393,8 +393,8 @@
 // What goes wrong without it: the node refuses whoever still comes after a
 // fixed time; one would see callers refused for seconds by a node that was
 // well.
-void Node::LeaveWhenHeard(TimePoint now) {
-  if (!m_leaving_since || m_has_told_leaving)
+void Node::AnnounceLeaveWhenIdle(TimePoint now) {
+  if (!m_leaving_since || m_has_announced_leave)
     return;
   const Duration since = now - *m_leaving_since;
   const bool is_idle = m_entry.size() == 0 && m_owner.size() == 0;
@@ -405,7 +405,7 @@
   const bool must_end = since >= LongestService();
   if (m_settings.leave_time > Duration::zero() && !has_served && !must_end)
     return;
-  m_has_told_leaving = true;
+  m_has_announced_leave = true;
   m_membership.Leave(now);
   m_directory.Leave(now);
 }
@@ -419,7 +419,7 @@
     m_actions.Push(ExitProcess{});
     return;
   }
-  if (!m_has_told_leaving || m_entry.size() > 0 || m_owner.size() > 0)
+  if (!m_has_announced_leave || m_entry.size() > 0 || m_owner.size() > 0)
     return;
   const bool is_tidy = m_membership.phase() == MemberPhase::kLeft &&
                        m_directory.has_left() && m_claims.size() == 0;
--- a/source/core/node_logic/node.h
+++ b/source/core/node_logic/node.h
@@ -62,7 +62,7 @@
 
   // One overload for each event.
   void On(TimePoint now, CallArrived event);
-  void On(TimePoint now, const CallerGone& event);
+  void On(TimePoint now, const CallerDisconnected& event);
   void On(TimePoint now, const AttemptRefused& event);
   void On(TimePoint now, const AttemptAnswerBegun& event);
   void On(TimePoint now, const AttemptAnswerEnded& event);
@@ -79,7 +79,7 @@
   void On(TimePoint now, const TargetWithdrawn& event);
   void On(TimePoint now, const TargetHeartbeat& event);
   void On(TimePoint now, const TargetDeparted& event);
-  void On(TimePoint now, const TargetWordRefused& event);
+  void On(TimePoint now, const TargetReportRefused& event);
   void On(TimePoint now, const ProbeAnswered& event);
   void On(TimePoint now, const ProbeFailed& event);
   void On(TimePoint now, const DatagramArrived& event);
@@ -95,19 +95,19 @@
   void TakeBroadcasts(TimePoint now);
   void OnLocalCommit(TimePoint now, const ConfigChange& change);
   void AskForRevisions(TimePoint now);
-  void TellTarget(TimePoint now);
-  void TellMeasuringBudget(TimePoint now);
+  void PublishTarget(TimePoint now);
+  void UpdateMeasuringBudget(TimePoint now);
   void RunProbes(TimePoint now);
-  void TellFleetSize();
-  void TellMembers(TimePoint now);
-  void TellConfigSync(TimePoint now, const Member& member);
-  void HearNewestRevision(TimePoint now);
-  void TellDirectoryNews(TimePoint now);
+  void UpdateFleetSize();
+  void UpdateMembers(TimePoint now);
+  void UpdateConfigSync(TimePoint now, const Member& member);
+  void TakeNewestRevision(TimePoint now);
+  void TakeDirectoryNews(TimePoint now);
   void TakeRouteDocument(TimePoint now);
   Duration LongestService() const;
   TimePoint LastAnswerAt(TimePoint leaving_since) const;
   TimePoint NextLeaveStep() const;
-  void LeaveWhenHeard(TimePoint now);
+  void AnnounceLeaveWhenIdle(TimePoint now);
   void ExitWhenDone(TimePoint now);
   TimePoint SweepWakeup() const;
   Candidate MakeCandidate(TimePoint now, const Member& member) const;
@@ -144,10 +144,10 @@
 
   std::uint64_t m_probes_sent = 0;
   // The configuration's sync was told what the members' rows let expect.
-  bool m_has_told_expectation = false;
-  bool m_was_table_well = true;
+  bool m_has_set_expectation = false;
+  bool m_was_table_available = true;
   // The newest revision that the configuration's sync was told of.
-  Revision m_heard_revision;
+  Revision m_reported_revision;
   // The last change that an operator made here. While members may lag behind
   // it they are asked, from m_next_question on until m_questions_end.
   Revision m_committed_revision;
@@ -158,7 +158,7 @@
   // Set when the node has been told to leave.
   std::optional<TimePoint> m_leaving_since;
   // The leaving was told to the fleet.
-  bool m_has_told_leaving = false;
+  bool m_has_announced_leave = false;
   bool m_has_exited = false;
 };
 
--- a/source/core/node_logic/node_settings.h
+++ b/source/core/node_logic/node_settings.h
@@ -79,7 +79,7 @@
 
   // Owners that a call asks for a fast start before it takes the least slow one
   // found; 0 where targets do not tell their speed.
-  std::uint32_t choosy_attempts = 0;
+  std::uint32_t selective_attempts = 0;
 
   PolicySwitches policies;
 
--- a/source/core/node_logic/node_settle.cc
+++ b/source/core/node_logic/node_settle.cc
@@ -34,29 +34,29 @@
 
 void Node::Settle(TimePoint now) {
   m_membership.Introduce(now, m_directory.TakeFound(m_membership.table()));
-  TellDirectoryNews(now);
-  TellTarget(now);
-  TellMeasuringBudget(now);
+  TakeDirectoryNews(now);
+  PublishTarget(now);
+  UpdateMeasuringBudget(now);
   TakeMemberChanges(now);
-  HearNewestRevision(now);
+  TakeNewestRevision(now);
   m_config_sync.SetWatchDuty(now, m_watch_duty.IsOnDuty(now));
   AskForRevisions(now);
   TakeBroadcasts(now);
   RunProbes(now);
-  LeaveWhenHeard(now);
+  AnnounceLeaveWhenIdle(now);
   ExitWhenDone(now);
 }
 
-void Node::TellDirectoryNews(TimePoint now) {
+void Node::TakeDirectoryNews(TimePoint now) {
   const std::optional<std::size_t> rows = m_directory.rows_found();
-  if (rows && !std::exchange(m_has_told_expectation, true)) {
+  if (rows && !std::exchange(m_has_set_expectation, true)) {
     m_config_sync.OnPeersExpected(
         now, *rows >= MemberDirectorySettings{}.wanted_rows);
   }
-  const bool was_well =
-      std::exchange(m_was_table_well, m_config_sync.is_table_well());
-  if (m_was_table_well && !was_well)
-    m_directory.OnTableWell(now);
+  const bool was_available =
+      std::exchange(m_was_table_available, m_config_sync.is_table_available());
+  if (m_was_table_available && !was_available)
+    m_directory.OnTableAvailable(now);
 }
 
 void Node::TakeMemberChanges(TimePoint now) {
@@ -69,9 +69,9 @@
                          is_live != IsLive(change.before);
   }
   if (has_peers_changed)
-    TellMembers(now);
+    UpdateMembers(now);
   if (!changes.empty())
-    TellFleetSize();
+    UpdateFleetSize();
 }
 
 void Node::TakeMemberChange(TimePoint now, const MemberChange& change) {
@@ -87,7 +87,7 @@
   const bool takes_calls = change.kind != MemberChangeKind::kForgotten &&
                            member.state == MemberState::kAlive &&
                            member.target && member.target->is_serving;
-  TellConfigSync(now, member);
+  UpdateConfigSync(now, member);
   if (takes_calls)
     m_router.Update(member.target->service, MakeCandidate(now, member));
   else
@@ -104,26 +104,26 @@
   return candidate;
 }
 
-void Node::TellConfigSync(TimePoint now, const Member& member) {
+void Node::UpdateConfigSync(TimePoint now, const Member& member) {
   if (member.id == m_settings.id)
     return;
   if (IsLive(member.state)) {
     m_config_sync.OnPeerRevision(now, member.id, member.gossip_endpoint,
                                  member.revision);
   } else {
-    m_config_sync.OnPeerGone(member.gossip_endpoint);
+    m_config_sync.OnPeerRemoved(member.gossip_endpoint);
   }
 }
 
 // Heartbeats carry revisions without a change of the member's record.
-void Node::HearNewestRevision(TimePoint now) {
+void Node::TakeNewestRevision(TimePoint now) {
   const Revision newest = m_membership.newest_revision();
-  if (newest <= m_contracts.revision() || newest == m_heard_revision)
+  if (newest <= m_contracts.revision() || newest == m_reported_revision)
     return;
-  m_heard_revision = newest;
+  m_reported_revision = newest;
   for (const Member* member : m_membership.table().Live()) {
     if (member->revision == newest)
-      TellConfigSync(now, *member);
+      UpdateConfigSync(now, *member);
   }
 }
 
@@ -146,7 +146,7 @@
   m_next_question = is_done ? TimePoint::max() : now + kQuestionPeriod;
 }
 
-void Node::TellMembers(TimePoint now) {
+void Node::UpdateMembers(TimePoint now) {
   std::vector<Peer> peers;
   std::vector<WatchCandidate> watchers;
   for (const Member* member : m_membership.table().Live()) {
@@ -159,7 +159,7 @@
   m_quarantine.SetMembers(now, std::move(peers));
 }
 
-void Node::TellFleetSize() {
+void Node::UpdateFleetSize() {
   const std::optional<TargetSummary> target = m_owner.life().Summary();
   FleetSize size;
   size.members = m_membership.table().Live().size();
@@ -222,7 +222,7 @@
   m_owner.OnRoutesChanged(now);
 }
 
-void Node::TellTarget(TimePoint now) {
+void Node::PublishTarget(TimePoint now) {
   std::optional<TargetSummary> target = m_owner.life().Summary();
   if (target && m_leaving_since)
     target->is_serving = false;
@@ -234,7 +234,7 @@
   m_probes.OnNeed(now, m_owner.life().Need(now));
 }
 
-void Node::TellMeasuringBudget(TimePoint now) {
+void Node::UpdateMeasuringBudget(TimePoint now) {
   const Revision revision = m_contracts.revision();
   if (revision == m_probes_revision)
     return;
--- a/source/core/node_logic/owned_work.cc
+++ b/source/core/node_logic/owned_work.cc
@@ -39,7 +39,7 @@
         .Add("slowdown_age_ms", Milliseconds(work.slowdown_age));
   }
   line.Add("slowdown", speed.slowdown())
-      .Add("told_ms_ago", Milliseconds(speed.AgeAt(now)))
+      .Add("reported_ms_ago", Milliseconds(speed.AgeAt(now)))
       .Add("running", load.in_flight)
       .Add("queued", load.queued)
       .Add("limit", load.limit)
--- a/source/core/node_logic/owner_policies.cc
+++ b/source/core/node_logic/owner_policies.cc
@@ -38,9 +38,9 @@
 // how they take a crowd.
 std::unique_ptr<ConcurrencyLimit> MakeConcurrencyLimit(
     const NodeSettings& settings) {
-  if (settings.choosy_attempts > 0 && !settings.policies.knee_limit)
+  if (settings.selective_attempts > 0 && !settings.policies.knee_limit)
     return std::make_unique<FixedLimit>();
-  if (settings.choosy_attempts > 0)
+  if (settings.selective_attempts > 0)
     return std::make_unique<KneeLimit>();
   return std::make_unique<AdaptiveLimit>(AdaptiveLimitSettings());
 }
--- a/source/core/node_logic/owner_side.cc
+++ b/source/core/node_logic/owner_side.cc
@@ -19,8 +19,8 @@
 
 constexpr int kFirstServerError = 500;
 
-// See NeedsFigures.
-constexpr Duration kFreshFigures = std::chrono::milliseconds(25);
+// See NeedsLoadSample.
+constexpr Duration kFreshSampleAge = std::chrono::milliseconds(25);
 
 // At most 20 probes a second of a target that is disturbed while works wait; a
 // disturbance ends half this later than it could be known, in the mean.
@@ -44,9 +44,9 @@
       m_needs_crash(settings.needs_crash_to_suspect),
       m_has_ranks(settings.policies.ranks) {}
 
-void OwnerSide::NoteEnd(TimePoint now,
-                        const OwnedWork& work,
-                        std::string_view result) const {
+void OwnerSide::RecordEnd(TimePoint now,
+                          const OwnedWork& work,
+                          std::string_view result) const {
   LogEndedWork(now, work, result, load(), m_speed);
   m_metrics.OnWork(result, work.WaitedAt(now));
   if (work.is_handed_over)
@@ -64,14 +64,14 @@
   work.arrived_at = now;
   work.deadline = now + event.head.time_left;
   if (reason != Reason::kNone) {
-    NoteEnd(now, work, TraitsOf(reason).token);
+    RecordEnd(now, work, TraitsOf(reason).token);
     Refuse(event.work, reason);
     return;
   }
-  const bool needs_figures = NeedsFigures(now, work);
+  const bool needs_load_sample = NeedsLoadSample(now, work);
   m_works.emplace(event.work, std::move(work));
-  if (needs_figures)
-    HoldForFigures(now, event.work);
+  if (needs_load_sample)
+    HoldForLoadSample(now, event.work);
   else
     Admit(now, event.work);
 }
@@ -79,12 +79,12 @@
 // A word that is older than this is not started by: of changes that come twice
 // a second, one in forty falls into it. It bounds the probes of a target to
 // forty a second, however many requests come.
-bool OwnerSide::NeedsFigures(TimePoint now, const OwnedWork& work) const {
-  return work.head.max_slowdown > 0 && m_speed.is_told() && m_gate.current() &&
-         m_speed.AgeAt(now) > kFreshFigures;
+bool OwnerSide::NeedsLoadSample(TimePoint now, const OwnedWork& work) const {
+  return work.head.max_slowdown > 0 && m_speed.is_reported() &&
+         m_gate.current() && m_speed.AgeAt(now) > kFreshSampleAge;
 }
 
-void OwnerSide::HoldForFigures(TimePoint now, WorkId id) {
+void OwnerSide::HoldForLoadSample(TimePoint now, WorkId id) {
   m_inquiry.Hold(id);
   if (!m_inquiry.AskSpeed(now, *m_gate.current()))
     ReleaseHeld(now);
@@ -133,14 +133,14 @@
 
 void OwnerSide::RefuseAdmitted(TimePoint now, WorkId id, Reason reason) {
   const std::optional<OwnedWork> work = Take(id);
-  NoteEnd(now, *work, TraitsOf(reason).token);
+  RecordEnd(now, *work, TraitsOf(reason).token);
   m_quarantine.OnWorkEnded(work->admitted());
   Refuse(id, reason);
 }
 
-void OwnerSide::TakeFigures(TimePoint now, const TargetFigures& figures) {
-  m_speed.OnFigures(now, figures);
-  Apply(now, m_admission.SetSlowdown(now, figures.slowdown));
+void OwnerSide::TakeLoadSample(TimePoint now, const TargetLoadSample& sample) {
+  m_speed.OnLoadSample(now, sample);
+  Apply(now, m_admission.SetSlowdown(now, sample.slowdown));
 }
 
 // While works wait for the target to be undisturbed, its answers are few and
@@ -152,8 +152,9 @@
 
 TimePoint OwnerSide::NextSpeedCheck() const {
   const bool is_waiting = m_admission.is_holding() && m_gate.current() &&
-                          m_speed.is_told() && !m_inquiry.IsAskingSpeed();
-  return is_waiting ? m_speed.told_at() + kSpeedCheckPeriod : TimePoint::max();
+                          m_speed.is_reported() && !m_inquiry.IsAskingSpeed();
+  return is_waiting ? m_speed.reported_at() + kSpeedCheckPeriod
+                    : TimePoint::max();
 }
 
 StartConditions OwnerSide::Conditions() const {
@@ -162,8 +163,8 @@
           .queued = now_load.queued,
           .limit = now_load.limit,
           .slots = m_admission.slots(),
-          .told_slowdown = m_speed.slowdown(),
-          .is_told = m_speed.is_told(),
+          .reported_slowdown = m_speed.slowdown(),
+          .is_reported = m_speed.is_reported(),
           .is_cold = m_life.state() == TargetState::kWarming};
 }
 
@@ -183,7 +184,7 @@
   const std::optional<OwnedWork> work = Take(id);
   if (!work)
     return;
-  NoteEnd(now, *work, "cancelled");
+  RecordEnd(now, *work, "cancelled");
   if (work->is_handed_over)
     m_actions.Push(CancelWork{id});
   m_quarantine.OnWorkEnded(work->admitted());
@@ -191,7 +192,7 @@
 }
 
 void OwnerSide::OnConnectFailed(TimePoint now, WorkId work) {
-  AccuseBroken(now);
+  ReportCrashSuspects(now);
   EndNotRun(now, work, Reason::kConnectFailed, RealResult::kConnectFailed);
 }
 
@@ -210,8 +211,8 @@
   }
   found->second.is_answer_begun = true;
   found->second.status = event.status;
-  if (event.figures)
-    TakeFigures(now, *event.figures);
+  if (event.load_sample)
+    TakeLoadSample(now, *event.load_sample);
   m_admission.OnAnswerBegun(now, event.work, event.status >= kFirstServerError);
   m_actions.Push(RelayWork{event.work, load()});
 }
@@ -222,7 +223,7 @@
   if (found == m_works.end() || !found->second.is_answer_begun)
     return;
   const std::optional<OwnedWork> work = Take(id);
-  NoteEnd(now, *work, "answered");
+  RecordEnd(now, *work, "answered");
   const bool is_error = work->status >= kFirstServerError;
   m_life.OnReal(now, is_error ? RealResult::kError : RealResult::kAnswered,
                 work->head.workspace);
@@ -235,22 +236,22 @@
   const std::optional<OwnedWork> work = TakeHandedOver(event.work);
   if (!work)
     return;
-  NoteEnd(now, *work, TraitsOf(Reason::kTargetLost).token);
+  RecordEnd(now, *work, TraitsOf(Reason::kTargetLost).token);
   m_life.OnReal(now, RealResult::kBrokenOff, work->head.workspace);
-  NoteBroken(now, *work);
+  RecordFailure(now, *work);
   m_actions.Push(FailWork{event.work, Reason::kTargetLost, load()});
   AdmissionOutput output =
       m_admission.OnEnded(now, event.work, WorkEnd::kFailed);
   // Where one lost answer is no sign of a crash, refused connections are.
   if (!m_needs_crash && !IsAnyHandedOver())
-    NoteCrash(now);
+    RecordCrash(now);
   Apply(now, output);
 }
 
 // Without the wait for a crash, each request that breaks off is suspect at
 // once: what its entry and others do in the meantime could take down the next
 // target. One that is innocent is cleared when it finishes alone.
-void OwnerSide::NoteBroken(TimePoint now, const OwnedWork& work) {
+void OwnerSide::RecordFailure(TimePoint now, const OwnedWork& work) {
   const AdmittedWork broken = work.admitted();
   if (!m_needs_crash) {
     m_quarantine.OnTargetCrashed(now, {broken});
@@ -260,13 +261,13 @@
   m_broken.Note(now, broken);
 }
 
-void OwnerSide::AccuseBroken(TimePoint now) {
-  const std::vector<AdmittedWork> accused = m_broken.TakeRecent(now);
-  if (accused.empty())
+void OwnerSide::ReportCrashSuspects(TimePoint now) {
+  const std::vector<AdmittedWork> suspects = m_broken.TakeRecent(now);
+  if (suspects.empty())
     return;
   LogLine(LogLevel::kWarning, "target.crash_suspects")
-      .Add("requests", accused.size());
-  m_quarantine.AccuseEnded(now, accused);
+      .Add("requests", suspects.size());
+  m_quarantine.SuspectEnded(now, suspects);
 }
 
 void OwnerSide::Drain(TimePoint now) {
@@ -318,7 +319,7 @@
 void OwnerSide::Apply(TimePoint now, const AdmissionOutput& output) {
   for (const AdmissionRefusal& refusal : output.refuse) {
     if (const std::optional<OwnedWork> work = Take(refusal.work)) {
-      NoteEnd(now, *work, TraitsOf(refusal.reason).token);
+      RecordEnd(now, *work, TraitsOf(refusal.reason).token);
       m_quarantine.OnWorkEnded(work->admitted());
     }
     Refuse(refusal.work, refusal.reason);
@@ -345,7 +346,7 @@
   const std::optional<OwnedWork> work = TakeHandedOver(id);
   if (!work)
     return;
-  NoteEnd(now, *work, TraitsOf(reason).token);
+  RecordEnd(now, *work, TraitsOf(reason).token);
   m_life.OnReal(now, result, work->head.workspace);
   m_quarantine.OnWorkEnded(work->admitted());
   AdmissionOutput output = m_admission.OnEnded(now, id, WorkEnd::kNotRun);
@@ -372,7 +373,7 @@
 
 // The last exchange with the target has broken off, and none has ended well
 // since: the target is taken for crashed until it says otherwise.
-void OwnerSide::NoteCrash(TimePoint now) {
+void OwnerSide::RecordCrash(TimePoint now) {
   m_life.OnCrashed(now);
   LogLine(LogLevel::kWarning, "target.crashed")
       .Add("state", ToToken(m_life.state()));
--- a/source/core/node_logic/owner_side.h
+++ b/source/core/node_logic/owner_side.h
@@ -17,8 +17,8 @@
 #include "core/common/time.h"
 #include "core/node_logic/actions.h"
 #include "core/node_logic/announcement_watch.h"
-#include "core/node_logic/broken_exchanges.h"
 #include "core/node_logic/events.h"
+#include "core/node_logic/failed_exchanges.h"
 #include "core/node_logic/node_settings.h"
 #include "core/node_logic/owned_work.h"
 #include "core/node_logic/target_inquiry.h"
@@ -26,7 +26,7 @@
 #include "core/quarantine/quarantine.h"
 #include "core/reporting/traffic_metrics.h"
 #include "core/routes/route_table.h"
-#include "core/target_state/refused_words.h"
+#include "core/target_state/refused_reports.h"
 #include "core/target_state/target_gate.h"
 #include "core/target_state/target_life.h"
 #include "core/target_state/target_speed.h"
@@ -56,7 +56,7 @@
   // Of targets that are known by an id.
   void OnHeartbeat(TimePoint now, const TargetHeartbeat& heartbeat);
   void OnDeparted(TimePoint now, const TargetDeparted& event);
-  void OnWordRefused(TimePoint now, const TargetWordRefused& event);
+  void OnReportRefused(TimePoint now, const TargetReportRefused& event);
   // False if the probe is none of this object's.
   bool OnOwnProbe(TimePoint now, const ProbeAnswered& event);
   bool OnOwnProbe(TimePoint now, const ProbeFailed& event);
@@ -77,8 +77,8 @@
 
  private:
   // Whether the target's word of its speed is too old to start a request by.
-  bool NeedsFigures(TimePoint now, const OwnedWork& work) const;
-  void HoldForFigures(TimePoint now, WorkId id);
+  bool NeedsLoadSample(TimePoint now, const OwnedWork& work) const;
+  void HoldForLoadSample(TimePoint now, WorkId id);
   void ReleaseHeld(TimePoint now);
   // The target's speed is as known as it gets.
   void Admit(TimePoint now, WorkId id);
@@ -88,7 +88,7 @@
   StartConditions Conditions() const;
   // As a request of this rank meets them.
   StartConditions ConditionsOf(Rank rank) const;
-  void TakeFigures(TimePoint now, const TargetFigures& figures);
+  void TakeLoadSample(TimePoint now, const TargetLoadSample& sample);
   void AskSpeedWhileHolding(TimePoint now);
   TimePoint NextSpeedCheck() const;
   void RefuseAdmitted(TimePoint now, WorkId id, Reason reason);
@@ -105,16 +105,16 @@
   // queued must stay: the admission will start it.
   std::optional<OwnedWork> TakeHandedOver(WorkId work);
   // Into the log and the metrics.
-  void NoteEnd(TimePoint now,
-               const OwnedWork& work,
-               std::string_view result) const;
-  void NoteCrash(TimePoint now);
+  void RecordEnd(TimePoint now,
+                 const OwnedWork& work,
+                 std::string_view result) const;
+  void RecordCrash(TimePoint now);
   bool IsAnyHandedOver() const;
   void CheckAnnouncements(TimePoint now);
-  void Obey(TimePoint now, GateVerdict verdict);
+  void ApplyVerdict(TimePoint now, GateVerdict verdict);
   void OpenGate(TimePoint now);
-  void NoteBroken(TimePoint now, const OwnedWork& work);
-  void AccuseBroken(TimePoint now);
+  void RecordFailure(TimePoint now, const OwnedWork& work);
+  void ReportCrashSuspects(TimePoint now);
   void SyncAdmission(TimePoint now);
 
   const RouteTable& m_routes;
@@ -126,7 +126,7 @@
   std::unordered_map<WorkId, OwnedWork> m_works;
   std::optional<Endpoint> m_endpoint;
   std::optional<TargetAnnounced> m_announced;
-  RefusedWords m_refused_words;
+  RefusedReports m_refused_reports;
   bool m_is_leaving = false;
   // Whether the admission was told to take work.
   bool m_is_admitting = false;
@@ -142,7 +142,7 @@
   // The operator's ranks of routes count.
   bool m_has_ranks = true;
   bool m_needs_crash = false;
-  BrokenExchanges m_broken;
+  FailedExchanges m_broken;
 
   AnnouncementWatch m_announcements;
 };
--- a/source/core/node_logic/owner_target.cc
+++ b/source/core/node_logic/owner_target.cc
@@ -40,22 +40,23 @@
   const bool is_known_service =
       !m_routes.is_known() || m_routes.FindService(heartbeat.service);
   if (!is_known_service && heartbeat.readiness == TargetReadiness::kReady) {
-    m_metrics.OnWordRefused("unknown-service");
-    if (m_refused_words.IsWorthALine(now, heartbeat.instance,
-                                     heartbeat.service.value())) {
+    m_metrics.OnReportRefused("unknown-service");
+    if (m_refused_reports.ShouldLog(now, heartbeat.instance,
+                                       heartbeat.service.value())) {
       LogLine(LogLevel::kWarning, "target.unknown_service")
           .Add("instance", heartbeat.instance)
           .Add("service", heartbeat.service);
     }
     return;
   }
-  Obey(now, m_gate.OnHeartbeat(now, heartbeat));
+  ApplyVerdict(now, m_gate.OnHeartbeat(now, heartbeat));
 }
 
-void OwnerSide::OnWordRefused(TimePoint now, const TargetWordRefused& event) {
-  m_metrics.OnWordRefused("unreadable");
-  if (m_refused_words.IsWorthALine(now, event.instance, event.fault)) {
-    LogLine(LogLevel::kWarning, "target.unreadable_word")
+void OwnerSide::OnReportRefused(TimePoint now,
+                                const TargetReportRefused& event) {
+  m_metrics.OnReportRefused("unreadable");
+  if (m_refused_reports.ShouldLog(now, event.instance, event.fault)) {
+    LogLine(LogLevel::kWarning, "target.unreadable_report")
         .Add("instance", event.instance)
         .Add("fault", event.fault);
   }
@@ -63,14 +64,14 @@
 
 void OwnerSide::OnDeparted(TimePoint now, const TargetDeparted& event) {
   LogLine(LogLevel::kInfo, "target.departed").Add("instance", event.instance);
-  Obey(now, m_gate.OnDeparted(event.instance, event.started));
+  ApplyVerdict(now, m_gate.OnDeparted(event.instance, event.started));
 }
 
 bool OwnerSide::OnOwnProbe(TimePoint now, const ProbeAnswered& event) {
   if (!TargetInquiry::IsOwn(event.probe))
     return false;
-  if (event.figures)
-    TakeFigures(now, *event.figures);
+  if (event.load_sample)
+    TakeLoadSample(now, *event.load_sample);
   if (m_inquiry.IsSpeedProbe(event.probe)) {
     ReleaseHeld(now);
     return true;
@@ -78,7 +79,7 @@
   LogLine(LogLevel::kInfo, "target.probed")
       .Add("instance", event.instance)
       .Add("healthy", event.is_healthy);
-  Obey(now, m_gate.OnProbe(event.instance, event.is_healthy));
+  ApplyVerdict(now, m_gate.OnProbe(event.instance, event.is_healthy));
   return true;
 }
 
@@ -90,7 +91,7 @@
     return true;
   }
   const LogLine line(LogLevel::kInfo, "target.probe_failed");
-  Obey(now, m_gate.OnProbeFailed());
+  ApplyVerdict(now, m_gate.OnProbeFailed());
   return true;
 }
 
@@ -99,7 +100,7 @@
     m_inquiry.AskHealth(now, *m_gate.candidate());
 }
 
-void OwnerSide::Obey(TimePoint now, GateVerdict verdict) {
+void OwnerSide::ApplyVerdict(TimePoint now, GateVerdict verdict) {
   switch (verdict) {
     case GateVerdict::kNone:
       return;
@@ -124,7 +125,7 @@
   const bool is_new = heartbeat.instance != m_instance || has_restarted;
   if (is_new) {
     // The one before it is gone: what broke off at it may have been its end.
-    AccuseBroken(now);
+    ReportCrashSuspects(now);
     m_instance = heartbeat.instance;
     m_process_started.reset();
     ++m_ordinal;
--- a/source/core/node_logic/policy_switches.h
+++ b/source/core/node_logic/policy_switches.h
@@ -12,11 +12,11 @@
   // Nothing starts on a target while it is disturbed.
   bool hold_disturbed = true;
   // Entries ask further owners for a start that is not slow.
-  bool choosy_starts = true;
+  bool selective_starts = true;
   // What is hardly worse than the best that owners told is accepted.
-  bool best_told_starts = true;
+  bool best_reported_starts = true;
   // Callers that have come back are told from new ones.
-  bool caller_patience = true;
+  bool retry_detector = true;
   // What may be late goes behind what likely is not.
   bool likely_times = true;
   // Works wait by the operator's ranks.
@@ -25,7 +25,7 @@
   bool leave_silent = true;
   // Refused callers are told to come back when room is likely, each at another
   // time.
-  bool return_advice = true;
+  bool retry_after = true;
   // Calls that owners would refuse for want of room are refused at their entry.
   bool throttle = true;
   // Entries ask fewer owners for a call where most of them refuse.
--- a/source/core/node_logic/target_inquiry.cc
+++ b/source/core/node_logic/target_inquiry.cc
@@ -16,11 +16,11 @@
 
 // A target on the same machine answers a probe in milliseconds; one that does
 // not is left to its next heartbeat.
-constexpr Duration kHealthPatience = std::chrono::milliseconds(300);
+constexpr Duration kHealthTimeout = std::chrono::milliseconds(300);
 
 // A health endpoint on the same machine answers in one to six milliseconds. A
 // request waits no longer than this for it, and then goes by what is known.
-constexpr Duration kSpeedPatience = std::chrono::milliseconds(20);
+constexpr Duration kSpeedTimeout = std::chrono::milliseconds(20);
 
 }  // namespace
 
@@ -29,12 +29,12 @@
 }
 
 void TargetInquiry::AskHealth(TimePoint now, const TargetHeartbeat& target) {
-  Send(now, target, kHealthPatience);
+  Send(now, target, kHealthTimeout);
 }
 
 bool TargetInquiry::AskSpeed(TimePoint now, const TargetHeartbeat& target) {
   if (!m_speed_probe)
-    m_speed_probe = Send(now, target, kSpeedPatience);
+    m_speed_probe = Send(now, target, kSpeedTimeout);
   return IsAskingSpeed();
 }
 
--- a/source/core/pipeline/call.h
+++ b/source/core/pipeline/call.h
@@ -40,7 +40,7 @@
   // One retry of the budget is set aside for the case that it is refused.
   bool has_retry = false;
   // It asked for a fast start.
-  bool is_choosy = false;
+  bool is_selective = false;
   // Owners refuse too often for the call to ask another one for want of room.
   bool is_bounded = false;
 };
@@ -72,7 +72,7 @@
   // Of those, the ones that were only too slow.
   OfferList offers;
   // Attempts that asked for a fast start.
-  std::uint32_t choosy_attempts = 0;
+  std::uint32_t selective_attempts = 0;
   Reason last_refusal = Reason::kNone;
   // As the owner that was asked last told it.
   LoadReport last_load;
@@ -83,7 +83,7 @@
   // Why, of the last such attempt.
   Reason unknown_reason = Reason::kNone;
   // Nobody is left to be told anything.
-  bool is_caller_gone = false;
+  bool is_caller_disconnected = false;
   std::optional<TimePoint> answer_begun_at;
   // The status of the answer that is being relayed.
   int answer_status = 0;
--- a/source/core/pipeline/dispatcher.cc
+++ b/source/core/pipeline/dispatcher.cc
@@ -59,7 +59,7 @@
   m_parts.router.OnRefused(now, call->attempt->dispatch, event.reason,
                            event.load);
   call->last_refusal = event.reason;
-  NoteTold(now, *call, event.load);
+  RecordReport(now, *call, event.load);
   const bool has_arrived = HasArrived(event.reason);
   if (has_arrived)
     ++call->hand_overs;
@@ -85,7 +85,7 @@
     return;
   m_parts.router.OnAnswerBegun(now, call->attempt->dispatch, event.load,
                                QualityOf(event.status));
-  NoteTold(now, *call, event.load);
+  RecordReport(now, *call, event.load);
   m_parts.pipeline.DisarmDeadline(*call);
   call->attempt->is_answer_begun = true;
   call->answer_begun_at = now;
@@ -116,11 +116,13 @@
 }
 
 // An owner without a target that takes work tells of no start.
-void Dispatcher::NoteTold(TimePoint now, Call& call, const LoadReport& load) {
+void Dispatcher::RecordReport(TimePoint now,
+                              Call& call,
+                              const LoadReport& load) {
   call.last_load = load;
   if (load.limit > 0)
-    m_hopes.OnTold(now, call.head.service, call.attempt->dispatch.node,
-                   load.slowdown);
+    m_slowdown_threshold.OnReported(now, call.head.service,
+                                    call.attempt->dispatch.node, load.slowdown);
 }
 
 void Dispatcher::OnLost(TimePoint now, const AttemptLost& event) {
@@ -134,7 +136,7 @@
     call->last_refusal = event.reason;
   } else {
     ++call->hand_overs;
-    NoteUnknown(*call, event.reason);
+    RecordUnknown(*call, event.reason);
   }
   if (EndAttempt(now, *call, is_worth_it, !event.is_certainly_not_run))
     TryNextOwner(now, *call);
@@ -158,7 +160,7 @@
   m_parts.router.OnLost(now, dispatch);
   m_parts.actions.Push(CancelAttempt{call->id, event.attempt});
   ++call->hand_overs;
-  NoteUnknown(*call, Reason::kNodeLost);
+  RecordUnknown(*call, Reason::kNodeLost);
   call->attempt.reset();
   TryNextOwner(now, *call);
 }
@@ -178,13 +180,13 @@
   GiveUp(now, *call, Reason::kStalled);
 }
 
-void Dispatcher::OnCallerGone(TimePoint now, CallId id) {
+void Dispatcher::OnCallerDisconnected(TimePoint now, CallId id) {
   Call* call = m_parts.pipeline.Find(id);
   if (!call)
     return;
-  call->is_caller_gone = true;
-  AbandonAttempt(now, *call, Reason::kCallerGone);
-  GiveUp(now, *call, Reason::kCallerGone);
+  call->is_caller_disconnected = true;
+  AbandonAttempt(now, *call, Reason::kCallerDisconnected);
+  GiveUp(now, *call, Reason::kCallerDisconnected);
 }
 
 void Dispatcher::OnDeadline(TimePoint now, Call& call) {
@@ -209,8 +211,8 @@
     GiveUp(now, call, Reason::kDeadlineTooShort);
     return;
   }
-  bool is_choosy = false;
-  const std::optional<NodeId> picked = PickOwner(now, call, is_choosy);
+  bool is_selective = false;
+  const std::optional<NodeId> picked = PickOwner(now, call, is_selective);
   const Member* owner = picked ? m_parts.owners.FindOwner(*picked) : nullptr;
   if (!owner) {
     const Reason reason = call.last_refusal == Reason::kNone
@@ -219,14 +221,15 @@
     GiveUp(now, call, reason);
     return;
   }
-  Send(now, call, *owner, is_choosy);
+  Send(now, call, *owner, is_selective);
 }
 
 std::optional<NodeId> Dispatcher::PickOwner(TimePoint now,
                                             Call& call,
-                                            bool& is_choosy) {
-  const bool may_choose = call.choosy_attempts < m_settings.choosy_attempts &&
-                          MayAskMore(now, call);
+                                            bool& is_selective) {
+  const bool may_choose =
+      call.selective_attempts < m_settings.selective_attempts &&
+      MayAskMore(now, call);
   if (!may_choose) {
     if (const std::optional<NodeId> best = TakeOffer(now, call))
       return best;
@@ -237,7 +240,7 @@
       m_parts.router.Pick(now, call.head.service, request, m_parts.random);
   if (!picked)
     return TakeOffer(now, call);
-  is_choosy = may_choose;
+  is_selective = may_choose;
   return picked;
 }
 
@@ -257,24 +260,24 @@
   const std::optional<Offer> offer = call.offers.TakeBest();
   if (!offer)
     return std::nullopt;
-  m_hopes.OnTaken(now, call.head.service, offer->slowdown);
+  m_slowdown_threshold.OnTaken(now, call.head.service, offer->slowdown);
   return offer->node;
 }
 
 void Dispatcher::Send(TimePoint now,
                       Call& call,
                       const Member& owner,
-                      bool is_choosy) {
+                      bool is_selective) {
   ++call.attempts_made;
-  if (is_choosy)
-    ++call.choosy_attempts;
+  if (is_selective)
+    ++call.selective_attempts;
   call.tried.push_back(owner.id);
   const Attempt attempt{AttemptNumber(call.attempts_made),
                         Dispatch{owner.id, call.terms.kind.weight, now},
                         false,
-                        is_choosy || ReserveRetry(now, call),
-                        is_choosy,
-                        !is_choosy && !MayAskMore(now, call)};
+                        is_selective || ReserveRetry(now, call),
+                        is_selective,
+                        !is_selective && !MayAskMore(now, call)};
   call.attempt = attempt;
   m_parts.router.OnSent(attempt.dispatch);
   m_parts.actions.Push(DispatchAttempt{call.id, attempt.number, owner.id,
@@ -311,7 +314,7 @@
 Duration Dispatcher::MaxHold(TimePoint now,
                              const Call& call,
                              const Member& owner) const {
-  if (owner.zone != m_settings.zone || !call.attempt->is_choosy)
+  if (owner.zone != m_settings.zone || !call.attempt->is_selective)
     return Duration::zero();
   const Duration needed_elsewhere = FromSeconds(
       kRoomToSpare * ToSeconds(m_profiles.FirstByte(call.terms.kind.name)));
@@ -324,9 +327,9 @@
   const std::size_t enough =
       m_settings.accepts_hardly_worse
           ? std::min<std::size_t>(m_parts.router.TargetsOf(call.head.service),
-                                  m_settings.choosy_attempts)
+                                  m_settings.selective_attempts)
           : std::numeric_limits<std::size_t>::max();
-  return m_hopes.Acceptable(now, call.head.service, enough);
+  return m_slowdown_threshold.Acceptable(now, call.head.service, enough);
 }
 
 WorkHead Dispatcher::MakeWorkHead(TimePoint now,
@@ -355,7 +358,7 @@
   if (m_settings.has_objectives)
     head.objective_left = ObjectiveLeft(now, call);
   head.max_slowdown =
-      call.attempt->is_choosy ? AcceptableSlowdown(now, call) : 0.0;
+      call.attempt->is_selective ? AcceptableSlowdown(now, call) : 0.0;
   head.max_hold = MaxHold(now, call, owner);
   return head;
 }
@@ -414,11 +417,11 @@
     return;
   m_parts.router.OnCancelled(now, call.attempt->dispatch);
   m_parts.actions.Push(CancelAttempt{call.id, call.attempt->number});
-  NoteUnknown(call, reason);
+  RecordUnknown(call, reason);
   EndAttempt(now, call, false, true);
 }
 
-void Dispatcher::NoteUnknown(Call& call, Reason reason) {
+void Dispatcher::RecordUnknown(Call& call, Reason reason) {
   call.may_have_run = true;
   call.unknown_reason = reason;
 }
--- a/source/core/pipeline/dispatcher.h
+++ b/source/core/pipeline/dispatcher.h
@@ -15,7 +15,7 @@
 #include "core/pipeline/answer_profiles.h"
 #include "core/pipeline/ask_budget.h"
 #include "core/pipeline/call_pipeline.h"
-#include "core/pipeline/start_hopes.h"
+#include "core/pipeline/slowdown_threshold.h"
 #include "core/routing/retry_budget.h"
 #include "core/routing/router.h"
 
@@ -50,7 +50,7 @@
   bool has_objectives = false;
   // Owners that are asked for a fast start before the call takes the least
   // slow one that was found; 0: any start will do. Each costs a round trip.
-  std::uint32_t choosy_attempts = 0;
+  std::uint32_t selective_attempts = 0;
   // See PolicySwitches.
   bool accepts_hardly_worse = true;
   bool leaves_silent_owners = true;
@@ -92,7 +92,7 @@
   // the node may have handed it over and be back.
   void OnSilent(TimePoint now, const AttemptSilent& event);
   void OnStalled(TimePoint now, CallId call);
-  void OnCallerGone(TimePoint now, CallId call);
+  void OnCallerDisconnected(TimePoint now, CallId call);
   void OnDeadline(TimePoint now, Call& call);
   void OnPermitLost(TimePoint now, Call& call);
 
@@ -100,11 +100,13 @@
   // Null if the event is about an attempt that is no longer the call's.
   Call* FindAttempt(CallId call, AttemptNumber attempt);
   void TryNextOwner(TimePoint now, Call& call);
-  // The owner to ask next; sets `is_choosy` if it may refuse for slowness.
-  std::optional<NodeId> PickOwner(TimePoint now, Call& call, bool& is_choosy);
+  // The owner to ask next; sets `is_selective` if it may refuse for slowness.
+  std::optional<NodeId> PickOwner(TimePoint now,
+                                  Call& call,
+                                  bool& is_selective);
   bool MaySend(TimePoint now, Call& call);
   std::optional<NodeId> TakeOffer(TimePoint now, Call& call);
-  void Send(TimePoint now, Call& call, const Member& owner, bool is_choosy);
+  void Send(TimePoint now, Call& call, const Member& owner, bool is_selective);
   // Whether anybody is left to ask after the attempts made so far.
   bool HasOthers(const Call& call) const;
   // Sets a retry aside for the attempt about to be sent, where another target
@@ -115,7 +117,7 @@
   WorkHead MakeWorkHead(TimePoint now,
                         const Call& call,
                         const Member& owner) const;
-  void NoteTold(TimePoint now, Call& call, const LoadReport& load);
+  void RecordReport(TimePoint now, Call& call, const LoadReport& load);
   double AcceptableSlowdown(TimePoint now, const Call& call) const;
   // What the answer's bytes would cost between zones, as a wait.
   Duration ZoneTransfer(const Call& call) const;
@@ -133,11 +135,11 @@
   void GiveUp(TimePoint now, Call& call, Reason reason);
   // Gives up an attempt that is under way: it may have run.
   void AbandonAttempt(TimePoint now, Call& call, Reason reason);
-  static void NoteUnknown(Call& call, Reason reason);
+  static void RecordUnknown(Call& call, Reason reason);
 
   DispatcherSettings m_settings;
   Parts m_parts;
-  StartHopes m_hopes;
+  SlowdownThreshold m_slowdown_threshold;
   AskBudget m_asks;
   AnswerProfiles m_profiles;
 };
--- a/source/core/pipeline/quarantine_filter.cc
+++ b/source/core/pipeline/quarantine_filter.cc
@@ -26,7 +26,7 @@
   if (call.holds_permit)
     EndPermit(now, call, end);
   else
-    TellSuspicion(now, call, end);
+    PublishSuspicion(now, call, end);
   call.holds_permit = false;
 }
 
@@ -81,9 +81,9 @@
   m_quarantine.EndPermit(now, call.head.fingerprint, permit_end);
 }
 
-void QuarantineFilter::TellSuspicion(TimePoint now,
-                                     const Call& call,
-                                     const CallEnd& end) {
+void QuarantineFilter::PublishSuspicion(TimePoint now,
+                                        const Call& call,
+                                        const CallEnd& end) {
   const bool was_sent = call.attempts_made > 0;
   if (!was_sent)
     return;
--- a/source/core/pipeline/quarantine_filter.h
+++ b/source/core/pipeline/quarantine_filter.h
@@ -27,7 +27,7 @@
   Reason ReasonWithoutPermit(Fingerprint fingerprint);
   void OnPermit(CallId id, Fingerprint fingerprint, PermitResult result);
   void EndPermit(TimePoint now, const Call& call, const CallEnd& end);
-  void TellSuspicion(TimePoint now, const Call& call, const CallEnd& end);
+  void PublishSuspicion(TimePoint now, const Call& call, const CallEnd& end);
 
   Quarantine& m_quarantine;
   FilterContinuation& m_continuation;
--- a/source/core/pipeline/return_advice.h
+++ b/source/core/pipeline/retry_after_policy.h
@@ -1,11 +1,11 @@
-// When a refused caller had best come back.
+// Chooses the Retry-After of a refusal.
 //
-// Load pattern: a disturbance or a burst fills all targets for some hundred
-// milliseconds, and all who are refused come back together. So a caller is told
-// when room is likely, and each another moment, spread over as long again.
+// Load pattern: interference or a burst fills all targets for some hundred
+// milliseconds, and all refused callers would retry together. So the earliest
+// retry is when capacity is likely, and retries are spread over as long again.
 
-#ifndef BULRUSHMOUNT_CORE_PIPELINE_RETURN_ADVICE_H_
-#define BULRUSHMOUNT_CORE_PIPELINE_RETURN_ADVICE_H_
+#ifndef BULRUSHMOUNT_CORE_PIPELINE_RETRY_AFTER_POLICY_H_
+#define BULRUSHMOUNT_CORE_PIPELINE_RETRY_AFTER_POLICY_H_
 
 #include <chrono>
 #include <optional>
@@ -17,8 +17,8 @@
 namespace bulrushmount {
 
 // The least time after which the cause of the refusal is likely over; empty
-// where `TraitsOf(reason)` knows better.
-inline std::optional<Duration> LeastReturnTime(Reason reason) {
+// if the default of `TraitsOf(reason)` applies.
+inline std::optional<Duration> LeastRetryAfter(Reason reason) {
   using std::chrono::milliseconds;
   switch (reason) {
     // Half of a usual disturbance.
@@ -33,7 +33,7 @@
     case Reason::kWrongTarget:
     case Reason::kNodeUnreachable:
       return milliseconds(500);
-    // Another node, or another target, takes it at once.
+    // Another node or target accepts it at once.
     case Reason::kDraining:
       return milliseconds(50);
     // A node reads its configuration within a second of its start.
@@ -44,9 +44,9 @@
   }
 }
 
-inline std::optional<Duration> AdviseReturn(Reason reason,
-                                            RandomSource& random) {
-  const std::optional<Duration> least = LeastReturnTime(reason);
+inline std::optional<Duration> DrawRetryAfter(Reason reason,
+                                              RandomSource& random) {
+  const std::optional<Duration> least = LeastRetryAfter(reason);
   if (!least)
     return std::nullopt;
   return FromSeconds(ToSeconds(*least) * (1.0 + random.Fraction()));
@@ -54,4 +54,4 @@
 
 }  // namespace bulrushmount
 
-#endif  // BULRUSHMOUNT_CORE_PIPELINE_RETURN_ADVICE_H_
+#endif  // BULRUSHMOUNT_CORE_PIPELINE_RETRY_AFTER_POLICY_H_
--- a/source/core/pipeline/caller_patience.cc
+++ b/source/core/pipeline/retry_detector.cc
@@ -1,6 +1,6 @@
-// Part of `caller_patience.h`.
+// Part of `retry_detector.h`.
 
-#include "core/pipeline/caller_patience.h"
+#include "core/pipeline/retry_detector.h"
 
 #include <algorithm>
 #include <numeric>
@@ -9,14 +9,14 @@
 
 namespace {
 
-// A longest time that is said no more is forgotten after one to two of these.
+// The longest timeout is forgotten after one to two of these without it.
 constexpr Duration kWindow = std::chrono::seconds(30);
 
-// What is said may be above the longest known by this part before the count
-// begins anew: callers' clocks, and the way of the request.
+// A timeout may exceed the longest known one by this fraction before counting
+// restarts: it varies with transit time.
 constexpr double kScaleTolerance = 0.02;
 
-// Requests before a cluster is believed, and after which each counts half.
+// Requests before a cluster counts, and after which counts are halved.
 constexpr std::uint32_t kLeastRequests = 32;
 constexpr std::uint32_t kHalveAt = 512;
 
@@ -27,39 +27,39 @@
 // first tries even when every one is refused.
 constexpr double kLeastShareOfNew = 0.15;
 
-// Kinds come from the operator; more than this are not looked at.
+// Bounds memory.
 constexpr std::size_t kMaxKinds = 256;
 
 }  // namespace
 
-Duration CallerPatience::WaitedBefore(TimePoint now,
-                                      const KindName& name,
-                                      Duration told) {
+Duration RetryDetector::EstimateElapsed(TimePoint now,
+                                        const KindName& name,
+                                        Duration timeout) {
   const bool is_full = m_kinds.size() >= kMaxKinds && !m_kinds.contains(name);
-  if (is_full || told <= Duration::zero())
+  if (is_full || timeout <= Duration::zero())
     return Duration::zero();
   Kind& kind = m_kinds[name];
-  LearnLongest(now, told, kind);
-  Count(told, kind);
+  LearnLongest(now, timeout, kind);
+  Count(timeout, kind);
   const std::size_t first_of_new = FirstBinOfNew(kind);
   const Duration least_of_new = kind.scale * first_of_new / kBins;
-  if (told >= least_of_new)
+  if (timeout >= least_of_new)
     return Duration::zero();
-  // New ones say what is in the middle of the cluster, in the mean.
-  return (least_of_new + kind.scale) / 2 - told;
+  // First attempts are in the middle of the cluster on average.
+  return (least_of_new + kind.scale) / 2 - timeout;
 }
 
-void CallerPatience::LearnLongest(TimePoint now, Duration told, Kind& kind) {
+void RetryDetector::LearnLongest(TimePoint now, Duration timeout, Kind& kind) {
   if (kind.total == 0 || now - kind.window_begun >= kWindow) {
     const bool is_next = now - kind.window_begun < 2 * kWindow;
     kind.longest_before = is_next ? kind.longest : Duration::zero();
     kind.longest = Duration::zero();
     kind.window_begun = now;
   }
-  kind.longest = std::max(kind.longest, told);
+  kind.longest = std::max(kind.longest, timeout);
 }
 
-void CallerPatience::Count(Duration told, Kind& kind) {
+void RetryDetector::Count(Duration timeout, Kind& kind) {
   const Duration longest = std::max(kind.longest, kind.longest_before);
   const double ratio = kind.scale > Duration::zero()
                            ? ToSeconds(longest) / ToSeconds(kind.scale)
@@ -69,7 +69,7 @@
     kind.total = 0;
     kind.scale = longest;
   }
-  const double part = ToSeconds(told) / ToSeconds(kind.scale);
+  const double part = ToSeconds(timeout) / ToSeconds(kind.scale);
   const auto bin = static_cast<std::size_t>(part * kBins);
   ++kind.counts.at(std::min(bin, kBins - 1));
   if (++kind.total < kHalveAt)
@@ -80,7 +80,7 @@
       std::accumulate(kind.counts.begin(), kind.counts.end(), std::uint32_t{0});
 }
 
-std::size_t CallerPatience::FirstBinOfNew(const Kind& kind) {
+std::size_t RetryDetector::FirstBinOfNew(const Kind& kind) {
   if (kind.total < kLeastRequests)
     return 0;
   double in_cluster = 0;
--- a/source/core/pipeline/route_filter.cc
+++ b/source/core/pipeline/route_filter.cc
@@ -30,7 +30,7 @@
   m_pipeline.ArmDeadline(call);
   if (m_tells_returns && call.head.deadline)
     call.waited_before =
-        m_patience.WaitedBefore(now, route.name, *call.head.deadline);
+        m_retry_detector.EstimateElapsed(now, route.name, *call.head.deadline);
   return PassCall{};
 }
 
--- a/source/core/pipeline/route_filter.h
+++ b/source/core/pipeline/route_filter.h
@@ -5,8 +5,8 @@
 #define BULRUSHMOUNT_CORE_PIPELINE_ROUTE_FILTER_H_
 
 #include "core/pipeline/call_pipeline.h"
-#include "core/pipeline/caller_patience.h"
 #include "core/pipeline/filter.h"
+#include "core/pipeline/retry_detector.h"
 #include "core/routes/route_table.h"
 
 namespace bulrushmount {
@@ -28,7 +28,7 @@
   RouteTable& m_routes;
   CallPipeline& m_pipeline;
   bool m_tells_returns;
-  CallerPatience m_patience;
+  RetryDetector m_retry_detector;
 };
 
 }  // namespace bulrushmount
--- a/source/core/pipeline/throttle_filter.cc
+++ b/source/core/pipeline/throttle_filter.cc
@@ -39,7 +39,7 @@
     m_throttle.OnAnswered(now, ClassOf(call), HasRoom(call.last_load));
   else if (IsRefusedByOwners(call, end))
     m_throttle.OnRefused(now, ClassOf(call));
-  if (end.outcome != Outcome::kAnswered && !call.is_caller_gone)
+  if (end.outcome != Outcome::kAnswered && !call.is_caller_disconnected)
     m_nested.OnCallFailed(now, ClassOf(call));
 }
 
--- a/source/core/quarantine/quarantine.cc
+++ b/source/core/quarantine/quarantine.cc
@@ -128,11 +128,11 @@
                                  const std::vector<AdmittedWork>& works) {
   for (const AdmittedWork& work : works)
     OnWorkEnded(work);
-  AccuseEnded(now, works);
+  SuspectEnded(now, works);
 }
 
-void Quarantine::AccuseEnded(TimePoint now,
-                             const std::vector<AdmittedWork>& works) {
+void Quarantine::SuspectEnded(TimePoint now,
+                              const std::vector<AdmittedWork>& works) {
   for (const AdmittedWork& work : works) {
     NoteAndSpread(now, work.fingerprint,
                   work.is_suspect ? SuspicionState::kConvicted
@@ -180,7 +180,7 @@
   for (const SuspicionNews& news : datagram->known)
     m_suspicions.Merge(now, news);
   if (datagram->wants_known)
-    TellKnown(now, from);
+    ReportKnown(now, from);
   if (!datagram->ask && !datagram->reply && !datagram->wants_known) {
     m_catch_up_tries = 0;
     m_is_behind = false;
@@ -275,7 +275,7 @@
                    DatagramKind::kQuarantine, EncodeQuarantine(datagram));
 }
 
-void Quarantine::TellKnown(TimePoint now, const Endpoint& to) {
+void Quarantine::ReportKnown(TimePoint now, const Endpoint& to) {
   std::vector<SuspicionNews> known = m_suspicions.Newest(
       now, m_settings.catch_up_datagrams * kMaxKnownPerDatagram);
   // One empty datagram says that there is nothing.
--- a/source/core/quarantine/quarantine.h
+++ b/source/core/quarantine/quarantine.h
@@ -110,7 +110,7 @@
 
   // The same for works whose OnWorkEnded was called before it was known that
   // the target went down.
-  void AccuseEnded(TimePoint now, const std::vector<AdmittedWork>& works);
+  void SuspectEnded(TimePoint now, const std::vector<AdmittedWork>& works);
 
   // --- All ---
 
@@ -173,7 +173,7 @@
   void NoticePause(TimePoint now);
   void StartCatchUp(TimePoint now);
   void AskForKnown(TimePoint now);
-  void TellKnown(TimePoint now, const Endpoint& to);
+  void ReportKnown(TimePoint now, const Endpoint& to);
   void NoticeReturns(TimePoint now, const std::vector<Peer>& members);
   void NoteAndSpread(TimePoint now,
                      Fingerprint fingerprint,
--- a/source/core/reporting/call_recorder.cc
+++ b/source/core/reporting/call_recorder.cc
@@ -156,7 +156,7 @@
 CallVerdict Judge(const CallRecord& record) {
   const bool is_late = record.latency > record.objective.within;
   // A caller that leaves in time tells nothing; one that waited too long does.
-  if (record.reason == Reason::kCallerGone)
+  if (record.reason == Reason::kCallerDisconnected)
     return is_late ? CallVerdict::kBad : CallVerdict::kNotCounted;
   if (record.outcome == Outcome::kAnswered)
     return is_late ? CallVerdict::kBad : CallVerdict::kGood;
--- a/source/core/reporting/traffic_metrics.cc
+++ b/source/core/reporting/traffic_metrics.cc
@@ -67,9 +67,9 @@
       .Observe(ToSeconds(run));
 }
 
-void TrafficMetrics::OnWordRefused(std::string_view reason) {
+void TrafficMetrics::OnReportRefused(std::string_view reason) {
   m_registry
-      .GetCounter("bulrushmount_refused_words_total",
+      .GetCounter("bulrushmount_refused_reports_total",
                   "Reports of targets that were not taken.",
                   {{"reason", std::string(reason)}})
       .Add();
--- a/source/core/reporting/traffic_metrics.h
+++ b/source/core/reporting/traffic_metrics.h
@@ -31,7 +31,7 @@
   void OnRun(Duration run);
 
   // What somebody said of the target beside this node was not taken.
-  void OnWordRefused(std::string_view reason);
+  void OnReportRefused(std::string_view reason);
 
  private:
   MetricsRegistry& m_registry;
--- a/source/core/routing/power_of_choices_picker.cc
+++ b/source/core/routing/power_of_choices_picker.cc
@@ -135,7 +135,8 @@
   dispatch.is_answer_begun = true;
   target->silent_since = now;
   Learn(now, *target, load);
-  NoteFailure(now, *target, quality == AnswerQuality::kServerError ? 1.0 : 0.0);
+  RecordFailureSample(now, *target,
+                      quality == AnswerQuality::kServerError ? 1.0 : 0.0);
 }
 
 void PowerOfChoicesPicker::OnEnded(TimePoint now,
@@ -158,7 +159,7 @@
   Release(*target, dispatch);
   Learn(now, *target, load);
   if (IsFailure(reason))
-    NoteFailure(now, *target, 1.0);
+    RecordFailureSample(now, *target, 1.0);
   if (reason == Reason::kDraining)
     target->closed_until = now + kClosedTime;
 }
@@ -168,12 +169,12 @@
   if (!target)
     return;
   Release(*target, dispatch);
-  NoteFailure(now, *target, 1.0);
+  RecordFailureSample(now, *target, 1.0);
 }
 
 void PowerOfChoicesPicker::OnSilent(TimePoint now, const Dispatch& dispatch) {
   if (Target* target = m_targets.Find(dispatch.node))
-    NoteFailure(now, *target, 1.0);
+    RecordFailureSample(now, *target, 1.0);
 }
 
 void PowerOfChoicesPicker::OnCancelled(TimePoint now,
@@ -237,9 +238,9 @@
   return std::max(kMeanGain, 1.0 / m_reports);
 }
 
-void PowerOfChoicesPicker::NoteFailure(TimePoint now,
-                                       Target& target,
-                                       double sample) {
+void PowerOfChoicesPicker::RecordFailureSample(TimePoint now,
+                                               Target& target,
+                                               double sample) {
   const double failure = FailureOf(now, target);
   target.failure = failure + kFailureGain * (sample - failure);
   target.failed_at = now;
--- a/source/core/routing/power_of_choices_picker.h
+++ b/source/core/routing/power_of_choices_picker.h
@@ -87,7 +87,7 @@
   void Release(Target& target, const Dispatch& dispatch);
   void NoLongerWaiting(Target& target, const Dispatch& dispatch);
   void Learn(TimePoint now, Target& target, const LoadReport& load);
-  void NoteFailure(TimePoint now, Target& target, double sample);
+  void RecordFailureSample(TimePoint now, Target& target, double sample);
   double LoadOf(TimePoint now, const Target& target) const;
   double ServiceTimeOf(TimePoint now, const Target& target) const;
   double FailureOf(TimePoint now, const Target& target) const;
--- a/source/core/settings/daemon_settings.cc
+++ b/source/core/settings/daemon_settings.cc
@@ -219,15 +219,19 @@
   };
   read("knee_limit", policies.knee_limit);
   read("hold_disturbed", policies.hold_disturbed);
-  read("choosy_starts", policies.choosy_starts);
-  read("best_told_starts", policies.best_told_starts);
-  read("caller_patience", policies.caller_patience);
+  read("selective_starts", policies.selective_starts);
+  read("best_reported_starts", policies.best_reported_starts);
+  read("retry_detector", policies.retry_detector);
   read("likely_times", policies.likely_times);
   read("ranks", policies.ranks);
   read("leave_silent", policies.leave_silent);
-  read("return_advice", policies.return_advice);
+  read("retry_after", policies.retry_after);
   read("throttle", policies.throttle);
   read("ask_budget", policies.ask_budget);
+  map.Renamed("choosy_starts", "selective_starts");
+  map.Renamed("best_told_starts", "best_reported_starts");
+  map.Renamed("caller_patience", "retry_detector");
+  map.Renamed("return_advice", "retry_after");
   map.Finish();
 }
 
--- a/source/core/settings/yaml_reader.cc
+++ b/source/core/settings/yaml_reader.cc
@@ -107,13 +107,25 @@
   return nullptr;
 }
 
+void YamlMapReader::Renamed(std::string_view old_key, std::string_view key) {
+  m_renamed.emplace(old_key, key);
+}
+
 void YamlMapReader::Finish() {
   for (const YamlEntry& entry : m_node.entries) {
-    if (entry.key.type != YamlNodeType::kScalar)
+    if (entry.key.type != YamlNodeType::kScalar) {
       m_faults.Add(entry.key.position, "expected a key");
-    else if (!m_known.contains(entry.key.scalar))
-      m_faults.Add(entry.key.position,
-                   fmt::format("unknown key '{}'", entry.key.scalar));
+      continue;
+    }
+    const std::string& key = entry.key.scalar;
+    if (m_known.contains(key))
+      continue;
+    const auto renamed = m_renamed.find(key);
+    m_faults.Add(entry.key.position,
+                 renamed == m_renamed.end()
+                     ? fmt::format("unknown key '{}'", key)
+                     : fmt::format("key '{}' has been renamed to '{}'", key,
+                                   renamed->second));
   }
 }
 
--- a/source/core/settings/yaml_reader.h
+++ b/source/core/settings/yaml_reader.h
@@ -10,6 +10,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -91,6 +92,9 @@
   const YamlNode* Required(std::string_view key);
   const YamlNode* Optional(std::string_view key);
 
+  // Makes the fault of an obsolete key name its replacement.
+  void Renamed(std::string_view old_key, std::string_view key);
+
   // Reports keys that nobody asked for.
   void Finish();
 
@@ -101,6 +105,8 @@
   YamlFaults& m_faults;
   bool m_is_map;
   std::set<std::string, std::less<>> m_known;
+  // The replacements of obsolete keys.
+  std::map<std::string, std::string, std::less<>> m_renamed;
 };
 
 // What follows reads one value. Without a node, or at a fault, which is
--- a/source/core/target_state/target_speed.h
+++ b/source/core/target_state/target_speed.h
@@ -13,29 +13,29 @@
 
 class TargetSpeed {
  public:
-  void OnFigures(TimePoint now, const TargetFigures& figures) {
-    m_figures = figures;
-    m_told_at = now;
+  void OnLoadSample(TimePoint now, const TargetLoadSample& sample) {
+    m_sample = sample;
+    m_reported_at = now;
   }
 
   // Another target has taken the place.
-  void Forget() { m_figures.reset(); }
+  void Forget() { m_sample.reset(); }
 
   // Whether the target tells its speed at all.
-  bool is_told() const { return m_figures.has_value(); }
+  bool is_reported() const { return m_sample.has_value(); }
 
   // As last told, as a multiple of the usual time; 1 if it never was.
-  double slowdown() const { return m_figures ? m_figures->slowdown : 1.0; }
+  double slowdown() const { return m_sample ? m_sample->slowdown : 1.0; }
 
-  TimePoint told_at() const { return m_told_at; }
+  TimePoint reported_at() const { return m_reported_at; }
   // Of that word; zero if there is none.
   Duration AgeAt(TimePoint now) const {
-    return m_figures ? now - m_told_at : Duration::zero();
+    return m_sample ? now - m_reported_at : Duration::zero();
   }
 
  private:
-  std::optional<TargetFigures> m_figures;
-  TimePoint m_told_at;
+  std::optional<TargetLoadSample> m_sample;
+  TimePoint m_reported_at;
 };
 
 }  // namespace bulrushmount
--- a/source/core/transport/callers/caller_answers.cc
+++ b/source/core/transport/callers/caller_answers.cc
@@ -55,7 +55,7 @@
                   [self = shared_from_this(),
                    waiting = std::move(waiting)](bool is_written) {
                     if (!is_written) {
-                      self->OnCallerGone();
+                      self->OnCallerDisconnected();
                     }
                     if (waiting) {
                       waiting(is_written);
@@ -92,7 +92,7 @@
 
 void CallerConnection::OnAnswered(bool is_written) {
   if (!is_written) {
-    OnCallerGone();
+    OnCallerDisconnected();
     return;
   }
   if (m_is_closed) {
--- a/source/core/transport/callers/caller_connection.cc
+++ b/source/core/transport/callers/caller_connection.cc
@@ -213,7 +213,7 @@
     m_has_caller_ended = true;
     return;
   }
-  OnCallerGone();
+  OnCallerDisconnected();
 }
 
 void CallerConnection::BeginExchange(std::string_view text) {
@@ -279,9 +279,9 @@
     return;
   }
   Limit(kPrefixTime);
-  const bool waits_for_word = front.m_expects_continue &&
-                              m_buffer->size() == 0 && front.HasUnreadBody();
-  if (waits_for_word) {
+  const bool waits_for_report = front.m_expects_continue &&
+                                m_buffer->size() == 0 && front.HasUnreadBody();
+  if (waits_for_report) {
     front.m_expects_continue = false;
     m_writer->Begin("HTTP/1.1 100 Continue\r\n\r\n", {});
   }
@@ -367,7 +367,7 @@
                    MakeOutcomeBody(Outcome::kNotRun, reason));
 }
 
-void CallerConnection::OnCallerGone() {
+void CallerConnection::OnCallerDisconnected() {
   Abandon(nullptr);
 }
 
@@ -380,7 +380,7 @@
   Close();
   for (const ExchangePtr& exchange : exchanges) {
     if (exchange->m_is_handed_in && exchange.get() != broken) {
-      m_acceptor.OnCallerGone(*exchange);
+      m_acceptor.OnCallerDisconnected(*exchange);
     }
   }
 }
--- a/source/core/transport/callers/caller_connection.h
+++ b/source/core/transport/callers/caller_connection.h
@@ -94,7 +94,7 @@
 
   // --- Ending ---
   void Refuse(Reason reason);
-  void OnCallerGone();
+  void OnCallerDisconnected();
   // Forgets all exchanges, closes with a reset, and tells of those that were
   // handed in and have no answer, except of `broken`.
   void Abandon(const Exchange* broken);
--- a/source/core/transport/callers/caller_exchange.cc
+++ b/source/core/transport/callers/caller_exchange.cc
@@ -92,7 +92,7 @@
     return;
   }
   if (status == BodyStatus::kError) {
-    connection->OnCallerGone();
+    connection->OnCallerDisconnected();
     return;
   }
   connection->ReadOn();
@@ -114,7 +114,7 @@
       std::move(chunk), [connection = m_connection,
                          callback = std::move(callback)](bool is_written) {
         if (!is_written) {
-          connection->OnCallerGone();
+          connection->OnCallerDisconnected();
         }
         callback(is_written);
       });
--- a/source/core/transport/callers/caller_server.h
+++ b/source/core/transport/callers/caller_server.h
@@ -88,7 +88,7 @@
   virtual ~CallAcceptor() = default;
   virtual void OnCall(std::shared_ptr<CallerExchange> exchange) = 0;
   // The caller went before the end of its answer. Not told after Break.
-  virtual void OnCallerGone(const CallerExchange& exchange) = 0;
+  virtual void OnCallerDisconnected(const CallerExchange& exchange) = 0;
   // Whether running the request twice does no harm, as far as is known now.
   // Only such a request is handed in while one before it on its connection is
   // unanswered.
--- a/source/core/transport/callers/entry_calls.cc
+++ b/source/core/transport/callers/entry_calls.cc
@@ -158,13 +158,13 @@
   m_events.Emit(CallArrived{id, std::move(head)});
 }
 
-void EntryCalls::OnCallerGone(const CallerExchange& exchange) {
+void EntryCalls::OnCallerDisconnected(const CallerExchange& exchange) {
   const auto found = m_ids.find(&exchange);
   if (found == m_ids.end()) {
     return;
   }
   const CallId id = found->second;
-  m_events.Emit(CallerGone{id});
+  m_events.Emit(CallerDisconnected{id});
   // Nobody is left to give an answer to.
   Drop(id);
 }
--- a/source/core/transport/callers/entry_calls.h
+++ b/source/core/transport/callers/entry_calls.h
@@ -36,7 +36,7 @@
   EntryCalls& operator=(const EntryCalls&) = delete;
 
   void OnCall(std::shared_ptr<CallerExchange> exchange) override;
-  void OnCallerGone(const CallerExchange& exchange) override;
+  void OnCallerDisconnected(const CallerExchange& exchange) override;
   bool IsRepeatable(const CallHead& head) const override {
     return m_brain.IsRepeatable(head);
   }
--- a/source/core/transport/operators/burn_gatherer.cc
+++ b/source/core/transport/operators/burn_gatherer.cc
@@ -38,7 +38,9 @@
   AskedPeer(const asio::any_io_executor& executor,
             std::size_t max_bytes,
             Told told)
-      : m_timer(executor), m_max_bytes(max_bytes), m_told(std::move(told)) {}
+      : m_timer(executor),
+        m_max_bytes(max_bytes),
+        m_reported(std::move(told)) {}
   ~AskedPeer() override {
     if (m_stream) {
       m_stream->Cancel();
@@ -52,15 +54,15 @@
     m_timer.expires_after(limit);
     m_timer.async_wait([this](const boost::system::error_code& error) {
       if (!error) {
-        Tell(std::nullopt);
+        Notify(std::nullopt);
       }
     });
     m_stream = client.Open(peer, MakeControlRequest(kBurnControl), this);
   }
 
-  void OnRefused(Reason, const LoadReport&) override { Tell(std::nullopt); }
-  void OnFailed(Reason, const LoadReport&) override { Tell(std::nullopt); }
-  void OnLost(bool, Reason) override { Tell(std::nullopt); }
+  void OnRefused(Reason, const LoadReport&) override { Notify(std::nullopt); }
+  void OnFailed(Reason, const LoadReport&) override { Notify(std::nullopt); }
+  void OnLost(bool, Reason) override { Notify(std::nullopt); }
 
   void OnAnswer(AnswerHead,
                 const LoadReport&,
@@ -80,24 +82,24 @@
 
   void OnRead(const BodyRead& read) {
     if (read.status == BodyStatus::kEnd) {
-      Tell(std::move(m_json));
+      Notify(std::move(m_json));
       return;
     }
     m_json += read.data;
     if (read.status == BodyStatus::kError || m_json.size() > m_max_bytes) {
-      Tell(std::nullopt);
+      Notify(std::nullopt);
       return;
     }
     Read();
   }
 
   // Posted, since what is told destroys this object.
-  void Tell(std::optional<std::string> json) {
-    if (!m_told) {
+  void Notify(std::optional<std::string> json) {
+    if (!m_reported) {
       return;
     }
     asio::post(m_timer.get_executor(),
-               [told = std::exchange(m_told, nullptr),
+               [told = std::exchange(m_reported, nullptr),
                 alive = std::weak_ptr(m_alive), json = std::move(json)] {
                  if (!alive.expired()) {
                    told(json);
@@ -107,7 +109,7 @@
 
   asio::steady_timer m_timer;
   std::size_t m_max_bytes;
-  Told m_told;
+  Told m_reported;
   std::shared_ptr<AttemptStream> m_stream;
   std::shared_ptr<BodySource> m_body;
   std::string m_json;
--- a/source/core/transport/peers/http2_session.cc
+++ b/source/core/transport/peers/http2_session.cc
@@ -299,12 +299,12 @@
   }
   if (m_silent_ticks >= kSilentTicks) {
     m_is_silent = true;
-    TellSilence();
+    ReportSilence();
   }
   Tick();
 }
 
-void Http2Session::TellSilence() {
+void Http2Session::ReportSilence() {
   // Who is told may end its stream.
   const auto streams = m_streams;
   for (const auto& [id, stream] : streams) {
--- a/source/core/transport/peers/http2_session.h
+++ b/source/core/transport/peers/http2_session.h
@@ -95,7 +95,7 @@
   void Send();
   void Tick();
   void OnTick();
-  void TellSilence();
+  void ReportSilence();
   void DropUnsent();
 
   boost::asio::ip::tcp::socket m_socket;
--- a/source/core/transport/peers/local_node_stream.cc
+++ b/source/core/transport/peers/local_node_stream.cc
@@ -115,7 +115,7 @@
         request_pipe(MakePipe(executor)),
         answer_pipe(MakePipe(executor)) {}
 
-  void TellEntry(std::function<void(AttemptListener&)> tell) {
+  void NotifyEntry(std::function<void(AttemptListener&)> tell) {
     asio::post(executor, [self = shared_from_this(), tell = std::move(tell)] {
       AttemptListener* const told =
           std::exchange(self->attempt_listener, nullptr);
@@ -125,7 +125,7 @@
     });
   }
 
-  void TellOwner() {
+  void NotifyOwner() {
     asio::post(executor, [self = shared_from_this()] {
       WorkListener* const told = std::exchange(self->work_listener, nullptr);
       if (told) {
@@ -166,7 +166,7 @@
     m_link->attempt_listener = nullptr;
     m_link->request_pipe->Abort();
     m_link->answer_pipe->Abort();
-    m_link->TellOwner();
+    m_link->NotifyOwner();
   }
 
  private:
@@ -189,21 +189,21 @@
   }
 
   void Refuse(Reason reason, const LoadReport& load) override {
-    m_link->TellEntry([reason, load](AttemptListener& listener) {
+    m_link->NotifyEntry([reason, load](AttemptListener& listener) {
       listener.OnRefused(reason, load);
     });
   }
 
   void Fail(Reason reason, const LoadReport& load) override {
-    m_link->TellEntry([reason, load](AttemptListener& listener) {
+    m_link->NotifyEntry([reason, load](AttemptListener& listener) {
       listener.OnFailed(reason, load);
     });
   }
 
   std::shared_ptr<BodySink> Answer(AnswerHead head,
                                    const LoadReport& load) override {
-    m_link->TellEntry([link = m_link, head = std::move(head),
-                       load](AttemptListener& listener) {
+    m_link->NotifyEntry([link = m_link, head = std::move(head),
+                         load](AttemptListener& listener) {
       listener.OnAnswer(head, load, link->answer_pipe);
     });
     return m_link->answer_pipe;
@@ -211,7 +211,7 @@
 
   void Reset() override {
     m_link->answer_pipe->Abort();
-    m_link->TellEntry([](AttemptListener& listener) {
+    m_link->NotifyEntry([](AttemptListener& listener) {
       listener.OnLost(false, Reason::kNodeLost);
     });
   }
--- a/source/core/transport/targets/owner_works.cc
+++ b/source/core/transport/targets/owner_works.cc
@@ -123,7 +123,7 @@
     m_answer_body = std::move(body);
     m_owner.m_events.Emit(TargetAnswerBegun{m_id, status, verdict.is_shed,
                                             verdict.is_wrong_target,
-                                            verdict.figures});
+                                            verdict.load_sample});
   }
 
   void OnFailed() override {
--- a/source/core/transport/targets/prober.cc
+++ b/source/core/transport/targets/prober.cc
@@ -97,7 +97,7 @@
       m_prober.KeepIdle(m_endpoint, std::move(m_stream));
     m_prober.m_events.Emit(ProbeAnswered{m_id, verdict.is_healthy,
                                          Now() - m_started, verdict.instance,
-                                         verdict.figures});
+                                         verdict.load_sample});
   }
 
   Prober& m_prober;
--- a/source/core/transport/targets/target_dialect.h
+++ b/source/core/transport/targets/target_dialect.h
@@ -25,7 +25,7 @@
   bool is_shed = false;
   // The same, since the request was meant for another target.
   bool is_wrong_target = false;
-  std::optional<TargetFigures> figures;
+  std::optional<TargetLoadSample> load_sample;
   // How long the target keeps the connection while it is idle.
   std::optional<Duration> keep_alive;
 };
@@ -35,7 +35,7 @@
   bool is_healthy = false;
   // Empty if the target does not tell.
   InstanceId instance;
-  std::optional<TargetFigures> figures;
+  std::optional<TargetLoadSample> load_sample;
 };
 
 class TargetDialect {
--- a/source/fuzz/caller_connection_fuzz.cc
+++ b/source/fuzz/caller_connection_fuzz.cc
@@ -32,7 +32,7 @@
     answer.status = 200;
     exchange->Answer(std::move(answer), "hello");
   }
-  void OnCallerGone(const CallerExchange&) override {}
+  void OnCallerDisconnected(const CallerExchange&) override {}
   bool IsRepeatable(const CallHead&) const override { return true; }
 };
 
--- a/source/process_tests/at_most_once_test.cc
+++ b/source/process_tests/at_most_once_test.cc
@@ -21,7 +21,7 @@
 constexpr std::size_t kThreads = 16;
 constexpr std::size_t kBookingsPerStep = 80;
 constexpr std::size_t kTriesPerCaller = 4;
-constexpr auto kCallerPatience = milliseconds(1500);
+constexpr auto kCallerRetryDetection = milliseconds(1500);
 
 class AtMostOnceTest : public FleetTest {
  public:
@@ -45,7 +45,7 @@
     request.body = "booth 1";
     CallAnswer answer;
     for (std::size_t attempt = 0; attempt < kTriesPerCaller; ++attempt) {
-      answer = Call((n + attempt) % size(), request, kCallerPatience);
+      answer = Call((n + attempt) % size(), request, kCallerRetryDetection);
       if (answer.is_answered()) {
         return answer;
       }
@@ -204,7 +204,7 @@
       return request;
     };
     for (std::size_t n = 0; n < keys_a_round; ++n) {
-      first.push_back(CallLater(0, request_of(n), kCallerPatience));
+      first.push_back(CallLater(0, request_of(n), kCallerRetryDetection));
     }
     // Stops it while some of them are on their way, whichever they are.
     std::this_thread::sleep_for(milliseconds(2 * round));
--- a/source/process_tests/not_run_test.cc
+++ b/source/process_tests/not_run_test.cc
@@ -17,7 +17,7 @@
 
 constexpr std::size_t kThreads = 24;
 constexpr std::size_t kCallsPerStep = 150;
-constexpr auto kCallerPatience = std::chrono::seconds(2);
+constexpr auto kCallerRetryDetection = std::chrono::seconds(2);
 
 class NotRunTest : public FleetTest {
  public:
@@ -81,7 +81,7 @@
     request.method = n % 2 == 0 ? "POST" : "GET";
     request.path = fmt::format("/sleep/{}?n={}", n % 30, n);
     request.deadline_ms = 100 + 20 * (n % 20);
-    return Call(n % size(), request, kCallerPatience);
+    return Call(n % size(), request, kCallerRetryDetection);
   });
   for (int step = 0; step < 3; ++step) {
     EXPECT_TRUE(calls.WaitForMore(kCallsPerStep));
--- a/source/soak/soak_run.cc
+++ b/source/soak/soak_run.cc
@@ -25,7 +25,7 @@
 
 constexpr std::array<const char*, 2> kServices = {"booking", "search"};
 // A server that gets no word from its node leaves all the same.
-constexpr Duration kDrainPatience = std::chrono::seconds(4);
+constexpr Duration kDrainTimeout = std::chrono::seconds(4);
 constexpr Duration kPollPeriod = std::chrono::milliseconds(20);
 // A node that is asked to leave may take its longest leave, 6 s, and as long
 // again on a busy machine.
@@ -81,7 +81,7 @@
 SoakResult SoakRun::Play() {
   StartFleet();
   if (!WaitUntilServing()) {
-    NoteBroken("the fleet does not serve before any fault");
+    RecordFailure("the fleet does not serve before any fault");
     return {m_broken, {}};
   }
   m_fleet->StartCalls(
@@ -97,7 +97,7 @@
   PlayUntil(began + m_options.length);
   Heal();
   if (!m_fleet->StopCalls())
-    NoteBroken("calls are still under way a minute after the last one");
+    RecordFailure("calls are still under way a minute after the last one");
   EndFleet();
   m_record.calls = m_fleet->TakeFinished();
   m_record.runs = m_fleet->Ledger();
@@ -136,8 +136,8 @@
                  ClientVerdict::kServed;
     });
     if (!is_serving) {
-      NoteBroken(fmt::format("node {} does not serve version {}", index,
-                             m_version.load()));
+      RecordFailure(fmt::format("node {} does not serve version {}", index,
+                                m_version.load()));
       return false;
     }
   }
@@ -160,7 +160,7 @@
     for (std::size_t index = 0; index < m_options.nodes; ++index) {
       if (!m_nodes[index].is_down && !m_nodes[index].is_leaving &&
           !m_fleet->IsRunning(index)) {
-        NoteBroken(fmt::format("node {} ended by itself", index));
+        RecordFailure(fmt::format("node {} ended by itself", index));
         StartNode(index);
       }
     }
@@ -263,10 +263,11 @@
       After(kPollPeriod, [=, this] { AwaitExit(index, terminated_at, pause); });
       return;
     }
-    NoteBroken(fmt::format("node {} does not end after SIGTERM", index));
+    RecordFailure(fmt::format("node {} does not end after SIGTERM", index));
     m_fleet->node(index).Kill();
   } else if (!HasEndedWell(index)) {
-    NoteBroken(fmt::format("node {} ends with a fault after SIGTERM", index));
+    RecordFailure(
+        fmt::format("node {} ends with a fault after SIGTERM", index));
   }
   state.is_down = true;
   After(pause, [this, index] { StartNode(index); });
@@ -321,7 +322,7 @@
   m_fleet->WithServer(index, [&](ServerStandIn& server) {
     is_acknowledged = server.IsDrainAcknowledged();
   });
-  if (!is_acknowledged && Now() - began < kDrainPatience) {
+  if (!is_acknowledged && Now() - began < kDrainTimeout) {
     After(kPollPeriod, [=, this] { AwaitDrain(index, began, pause); });
     return;
   }
@@ -373,7 +374,7 @@
     PlayUntil(m_due.top().at + std::chrono::milliseconds(1));
   if (WaitUntilServing())
     return;
-  NoteBroken("the fleet does not serve after the last fault");
+  RecordFailure("the fleet does not serve after the last fault");
 }
 
 void SoakRun::EndFleet() {
@@ -382,7 +383,7 @@
   for (std::size_t index = 0; index < m_options.nodes; ++index) {
     const auto exit = m_fleet->node(index).WaitForExit();
     if (!exit || exit->code != 0)
-      NoteBroken(fmt::format("node {} does not end cleanly", index));
+      RecordFailure(fmt::format("node {} does not end cleanly", index));
   }
 }
 
--- a/source/soak/soak_run.h
+++ b/source/soak/soak_run.h
@@ -82,7 +82,7 @@
   void FailStore(const Fault& fault);
   void FailLink(const Fault& fault, LinkState state);
   void MoveRoutes();
-  void NoteBroken(const std::string& what) { m_broken.push_back(what); }
+  void RecordFailure(const std::string& what) { m_broken.push_back(what); }
 
   // Undoes all and waits until every node serves the newest routes again.
   void Heal();
--- a/source/stand_ins/target_service.cc
+++ b/source/stand_ins/target_service.cc
@@ -143,8 +143,9 @@
     exchange->Respond(LoadResponse());
     return;
   }
-  const bool is_well = !m_control.is_draining && !m_control.is_failing_fast;
-  const bool says_well = is_well || m_control.is_health_lying;
+  const bool is_available =
+      !m_control.is_draining && !m_control.is_failing_fast;
+  const bool says_well = is_available || m_control.is_health_lying;
   exchange->Respond({says_well ? 200U : 503U, {}, says_well ? "ok\n" : "no\n"});
 }
 
--- a/source/unit_tests/core/admission/disturbed_load_test.cc
+++ b/source/unit_tests/core/admission/disturbed_load_test.cc
@@ -49,9 +49,9 @@
 // arrival is in time, and 2 s is the deadline.
 class Replay {
  public:
-  Replay(const DisturbedLoad& load, bool is_told)
+  Replay(const DisturbedLoad& load, bool is_reported)
       : m_load(load),
-        m_is_told(is_told),
+        m_is_reported(is_reported),
         m_random(11),
         m_admission(AdmissionSettings{}, std::make_unique<FixedLimit>()) {
     m_admission.SetTarget(m_now, 9, 220);
@@ -66,7 +66,7 @@
         const bool is_disturbed = m_random.Fraction() < m_load.share;
         m_slowdown = m_load.usual * (is_disturbed ? m_load.slowdown : 1.0);
         next_draw += m_load.period;
-        if (m_is_told)
+        if (m_is_reported)
           Note(m_admission.SetSlowdown(m_now, m_slowdown));
       }
       if (m_now >= next_arrival) {
@@ -112,7 +112,7 @@
   }
 
   DisturbedLoad m_load;
-  bool m_is_told;
+  bool m_is_reported;
   SeededRandomSource m_random;
   Admission m_admission;
   TimePoint m_now;
@@ -265,7 +265,7 @@
   UsualSpeed usual(1500ms);
   TimePoint now;
   for (const double slowdown : GetParam().told) {
-    usual.OnTold(now, slowdown);
+    usual.OnReported(now, slowdown);
     now += 100ms;
   }
   EXPECT_EQ(usual.slowdown(), GetParam().usual);
@@ -325,16 +325,19 @@
         EstimateCase{"LongQueue",
                      {.in_flight = 9, .queued = 6, .limit = 9, .slots = 12},
                      false},
-        EstimateCase{
-            "Disturbed",
-            {.limit = 9, .slots = 9, .told_slowdown = 7, .is_told = true},
-            false},
+        EstimateCase{"Disturbed",
+                     {.limit = 9,
+                      .slots = 9,
+                      .reported_slowdown = 7,
+                      .is_reported = true},
+                     false},
         EstimateCase{"ColdAndSilent",
                      {.limit = 9, .slots = 9, .is_cold = true},
                      false},
-        EstimateCase{"ColdByItsWordNoMore",
-                     {.limit = 9, .slots = 9, .is_told = true, .is_cold = true},
-                     true}),
+        EstimateCase{
+            "ColdByItsWordNoMore",
+            {.limit = 9, .slots = 9, .is_reported = true, .is_cold = true},
+            true}),
     [](const auto& info) { return std::string(info.param.name); });
 
 }  // namespace
--- a/source/unit_tests/core/contracts/contract_yaml_test.cc
+++ b/source/unit_tests/core/contracts/contract_yaml_test.cc
@@ -75,6 +75,10 @@
     testing::Values(
         FaultCase{"UnknownKey", "key_retention:", "foo: 1\nkey_retention:",
                   "line 12, column 1: unknown key 'foo'"},
+        FaultCase{"RenamedKey", "workspace: studio",
+                  "workspace: studio\ncustomer: studio",
+                  "line 2, column 1: key 'customer' has been renamed to "
+                  "'workspace'"},
         FaultCase{"MissingKey", "key_retention: 24h\n", "",
                   "line 1, column 1: missing key 'key_retention'"},
         FaultCase{"DuplicateKey",
@@ -95,7 +99,7 @@
                   "line 11, column 60: expected a whole number from 1 to "
                   "1000000"},
         FaultCase{"Name", "studio", "stu/dio",
-                  "line 1, column 11: expected a name: 1 to 64 letters, "
+                  "line 1, column 12: expected a name: 1 to 64 letters, "
                   "digits, '.', '_' or '-'"},
         FaultCase{"Reserved", "studio", "measurement",
                   "line 1, column 1: missing key 'budgets'\n"
@@ -116,11 +120,11 @@
                   "line 12, column 9: burst_units is below the weight of kind "
                   "'browse'"},
         FaultCase{"Alias", "studio", "*a",
-                  "line 1, column 11: the referenced anchor is not defined"},
+                  "line 1, column 12: the referenced anchor is not defined"},
         FaultCase{"Anchor", "studio", "&a studio",
-                  "line 1, column 11: anchors are not accepted"},
+                  "line 1, column 12: anchors are not accepted"},
         FaultCase{"Tag", "studio", "!!str studio",
-                  "line 1, column 11: tags are not accepted"}),
+                  "line 1, column 12: tags are not accepted"}),
     [](const auto& info) { return info.param.name; });
 
 TEST(ContractYamlTest, ListsAllFaultsAtOnce) {
--- a/source/unit_tests/core/contracts/watch_duty_test.cc
+++ b/source/unit_tests/core/contracts/watch_duty_test.cc
@@ -33,7 +33,7 @@
   for (const WatchCandidate& member : members) {
     WatchDuty duty({}, member.node, kStart);
     duty.SetMembers(kStart, members);
-    duty.OnPeerHeard(kStart + 5s);
+    duty.OnPeerContact(kStart + 5s);
     count += duty.IsOnDuty(kStart + 5s) ? 1 : 0;
   }
   return count;
@@ -69,15 +69,15 @@
   const std::vector<WatchCandidate> fleet = Fleet(300, 6);
   WatchDuty duty({}, NodeId(290), kStart);
   duty.SetMembers(kStart, {fleet[289]});
-  duty.OnPeerHeard(kStart + 1s);
+  duty.OnPeerContact(kStart + 1s);
   EXPECT_FALSE(duty.IsOnDuty(kStart + 1s));
   EXPECT_EQ(duty.NextChange(kStart + 1s), kStart + 2s);
   // It knows some more, and is still the first of its zone: it waits anew.
   duty.SetMembers(kStart + 1500ms, {fleet[289], fleet[288], fleet[295]});
-  duty.OnPeerHeard(kStart + 3s);
+  duty.OnPeerContact(kStart + 3s);
   EXPECT_FALSE(duty.IsOnDuty(kStart + 3s));
   duty.SetMembers(kStart + 3s, fleet);
-  duty.OnPeerHeard(kStart + 9s);
+  duty.OnPeerContact(kStart + 9s);
   EXPECT_FALSE(duty.IsOnDuty(kStart + 9s));
 }
 
@@ -88,11 +88,11 @@
   const std::vector<WatchCandidate> fleet = Fleet(300, 6);
   WatchDuty duty({}, NodeId(290), kStart);
   duty.SetMembers(kStart, fleet);
-  duty.OnPeerHeard(kStart + 5s);
+  duty.OnPeerContact(kStart + 5s);
   EXPECT_FALSE(duty.IsOnDuty(kStart + 6s));
   EXPECT_EQ(duty.NextChange(kStart + 6s), kStart + 6500ms);
   EXPECT_TRUE(duty.IsOnDuty(kStart + 6500ms));
-  duty.OnPeerHeard(kStart + 7s);
+  duty.OnPeerContact(kStart + 7s);
   EXPECT_FALSE(duty.IsOnDuty(kStart + 7s));
 }
 
@@ -101,11 +101,11 @@
   std::vector<WatchCandidate> fleet = Fleet(300, 6);
   WatchDuty duty({}, NodeId(13), kStart);
   duty.SetMembers(kStart, fleet);
-  duty.OnPeerHeard(kStart + 4s);
+  duty.OnPeerContact(kStart + 4s);
   EXPECT_FALSE(duty.IsOnDuty(kStart + 4s));
   fleet.erase(fleet.begin());
   duty.SetMembers(kStart + 4s, fleet);
-  duty.OnPeerHeard(kStart + 6s);
+  duty.OnPeerContact(kStart + 6s);
   EXPECT_TRUE(duty.IsOnDuty(kStart + 6s));
 }
 
--- a/source/unit_tests/core/measuring/probe_fleet.cc
+++ b/source/unit_tests/core/measuring/probe_fleet.cc
@@ -121,8 +121,8 @@
     m_fleet.m_records.push_back({m_fleet.now(), end, m_index});
     // The connection may break long before the target gives up its work.
     const bool breaks = m_random.Index(2) == 0;
-    const TimePoint told_at = breaks ? answer : end;
-    m_fleet.m_time.At(told_at, [this, order, hangs] {
+    const TimePoint reported_at = breaks ? answer : end;
+    m_fleet.m_time.At(reported_at, [this, order, hangs] {
       Run([this, order, hangs](TimePoint then) {
         hangs ? m_scheduler.OnProbeFailed(then, order.probe)
               : m_scheduler.OnProbeAnswered(then, order.probe);
@@ -172,10 +172,10 @@
   const bool is_down = m_fleet.m_fault == LinkFault::kDown;
   const Journey journey = RandomJourney();
   // Told once: by the answer or by the time-out, whichever is first.
-  auto is_told = std::make_shared<bool>(false);
-  const auto tell = [this, callback, is_told](const TableReply& reply) {
-    m_node.Run([callback, is_told, reply](TimePoint now) {
-      if (!std::exchange(*is_told, true)) {
+  auto is_reported = std::make_shared<bool>(false);
+  const auto tell = [this, callback, is_reported](const TableReply& reply) {
+    m_node.Run([callback, is_reported, reply](TimePoint now) {
+      if (!std::exchange(*is_reported, true)) {
         callback(now, reply);
       }
     });
@@ -214,13 +214,13 @@
   scheduler.OnContract(local, m_revision, &m_terms);
   scheduler.OnNeed(local, need);
   scheduler.OnTarget(local, kService);
-  TellSize();
+  ReportSize();
   return m_nodes.size() - 1;
 }
 
 void ProbeFleet::Kill(std::size_t node) {
   m_nodes[node]->is_alive = false;
-  TellSize();
+  ReportSize();
 }
 
 void ProbeFleet::Freeze(std::size_t node) {
@@ -245,7 +245,7 @@
   m_terms.budgets = {budget};
   m_terms.budgets[0].service = kService;
   m_revision = Revision(m_revision.value() + 1);
-  m_told_at = now() + spread;
+  m_reported_at = now() + spread;
   for (std::size_t i = 0; i < m_nodes.size(); ++i) {
     if (std::find(cut_off.begin(), cut_off.end(), i) != cut_off.end()) {
       continue;
@@ -263,10 +263,10 @@
 void ProbeFleet::SetFleet(std::uint32_t members, std::uint32_t services) {
   m_size.members = members;
   m_size.services = services;
-  TellSize();
+  ReportSize();
 }
 
-void ProbeFleet::TellSize() {
+void ProbeFleet::ReportSize() {
   const auto live =
       std::count_if(m_nodes.begin(), m_nodes.end(),
                     [](const auto& node) { return node->is_alive; });
--- a/source/unit_tests/core/measuring/probe_fleet.h
+++ b/source/unit_tests/core/measuring/probe_fleet.h
@@ -66,7 +66,7 @@
   std::size_t writes() const { return m_writes; }
   std::size_t timers() const { return m_timers; }
   // When every node had been told of the last budget.
-  TimePoint told_at() const { return m_told_at; }
+  TimePoint reported_at() const { return m_reported_at; }
   InMemoryTable& table() { return m_table; }
 
  private:
@@ -74,7 +74,7 @@
   class Link;
 
   void Step(TimePoint end);
-  void TellSize();
+  void ReportSize();
   Duration RandomUpTo(Duration longest);
 
   SeededRandomSource m_random;
@@ -85,7 +85,7 @@
   Duration m_lateness = std::chrono::milliseconds(5);
   FleetSize m_size;
   VirtualTime m_time;
-  TimePoint m_told_at;
+  TimePoint m_reported_at;
   MeasuringTerms m_terms;
   Revision m_revision;
   std::vector<std::unique_ptr<Node>> m_nodes;
--- a/source/unit_tests/core/membership/member_directory_test.cc
+++ b/source/unit_tests/core/membership/member_directory_test.cc
@@ -203,7 +203,7 @@
   Run(node, minutes(1));
   m_service.SetFault(TableFault::kNone);
   EXPECT_FALSE(node.directory.rows_found());
-  node.directory.OnTableWell(m_now);
+  node.directory.OnTableAvailable(m_now);
   Run(node, milliseconds(200));
   EXPECT_TRUE(node.directory.rows_found());
 }
--- a/source/unit_tests/core/membership/membership_test.cc
+++ b/source/unit_tests/core/membership/membership_test.cc
@@ -214,13 +214,13 @@
   m_network.at(7).UpdateSelf(m_network.now(), draining, Revision(9));
   EXPECT_TRUE(m_network.RunUntil(
       [&] {
-        bool is_told = true;
+        bool is_reported = true;
         for (std::size_t i = 0; i < 40; ++i) {
           const Member* member = m_network.at(i).table().Find(m_network.id(7));
-          is_told &= member->target == draining &&
-                     m_network.at(i).newest_revision() == Revision(9);
+          is_reported &= member->target == draining &&
+                         m_network.at(i).newest_revision() == Revision(9);
         }
-        return is_told;
+        return is_reported;
       },
       seconds(5)));
 }
--- a/source/unit_tests/core/node_logic/event_script.cc
+++ b/source/unit_tests/core/node_logic/event_script.cc
@@ -111,7 +111,7 @@
     case 2: {
       const CallId call = AnyCall();
       m_calls.erase(call);
-      Deliver(CallerGone{call});
+      Deliver(CallerDisconnected{call});
       break;
     }
     case 3: {
--- a/source/unit_tests/core/node_logic/fleet.cc
+++ b/source/unit_tests/core/node_logic/fleet.cc
@@ -312,7 +312,7 @@
   if (view.outcome || view.is_cut)
     return;
   view.is_cut = true;
-  Deliver(view.entry, CallerGone{CallId(call + 1)});
+  Deliver(view.entry, CallerDisconnected{CallId(call + 1)});
 }
 
 void Fleet::WriteContract(const std::string& workspace,
--- a/source/unit_tests/core/node_logic/routed_node_test.cc
+++ b/source/unit_tests/core/node_logic/routed_node_test.cc
@@ -70,7 +70,7 @@
     settings.needs_crash_to_suspect = true;
     settings.do_entries_judge_errors = true;
     settings.is_refusal_free = true;
-    settings.choosy_attempts = 4;
+    settings.selective_attempts = 4;
     settings.max_attempts = 8;
     settings.leave_time = 3s;
     settings.longest_leave = 6s;
@@ -153,7 +153,7 @@
     ASSERT_TRUE(probe);
     EXPECT_EQ(probe->path, "/health");
     Deliver(ProbeAnswered{probe->probe, true, 1ms, InstanceId(instance),
-                          TargetFigures{0, 0, 9, slowdown}});
+                          TargetLoadSample{0, 0, 9, slowdown}});
   }
 
   // Ready, with a target whose gate is open.
@@ -318,7 +318,7 @@
   draining.readiness = TargetReadiness::kDraining;
   Deliver(draining);
   Deliver(ProbeAnswered{probe->probe, true, 1ms, InstanceId("i-1"),
-                        TargetFigures{0, 0, 9, 1}});
+                        TargetLoadSample{0, 0, 9, 1}});
   EXPECT_FALSE(Next<HandToTarget>());
   Refuse(*attempt, Reason::kDraining);
   const auto answer = Next<AnswerCaller>();
@@ -347,12 +347,12 @@
   TargetHeartbeat stranger = Heartbeat("i-9", 1);
   stranger.service = ServiceName("unheard-of");
   for (int word = 0; word < 3; ++word)
-    Deliver(TargetWordRefused{InstanceId("i-1"), "slots: above 0"});
+    Deliver(TargetReportRefused{InstanceId("i-1"), "slots: above 0"});
   Deliver(stranger);
   const std::string page = m_logic.MetricsText(m_now);
-  EXPECT_NE(page.find(R"(refused_words_total{reason="unreadable"} 3)"),
+  EXPECT_NE(page.find(R"(refused_reports_total{reason="unreadable"} 3)"),
             std::string::npos);
-  EXPECT_NE(page.find(R"(refused_words_total{reason="unknown-service"} 1)"),
+  EXPECT_NE(page.find(R"(refused_reports_total{reason="unknown-service"} 1)"),
             std::string::npos);
   Call("/read/1");
   ASSERT_TRUE(Arrive());
@@ -432,7 +432,7 @@
     ASSERT_TRUE(Arrive()) << count;
     if (const auto probe = Next<SendProbe>())
       Deliver(ProbeAnswered{probe->probe, true, 1ms, InstanceId("i-1"),
-                            TargetFigures{0, 0, 9, 1}});
+                            TargetLoadSample{0, 0, 9, 1}});
     const auto hand_over = Next<HandToTarget>();
     ASSERT_TRUE(hand_over) << count;
     Deliver(TargetAnswerBegun{hand_over->work, 500});
--- a/source/unit_tests/core/pipeline/dispatcher_test.cc
+++ b/source/unit_tests/core/pipeline/dispatcher_test.cc
@@ -109,7 +109,7 @@
     settings.zone_kilobyte = 2ms;
     settings.is_refusal_free = true;
     settings.has_objectives = true;
-    settings.choosy_attempts = kOwners;
+    settings.selective_attempts = kOwners;
     settings.bounds_refusals = true;
     return settings;
   }
--- /dev/null
+++ b/source/unit_tests/core/pipeline/retry_detector_test.cc
@@ -0,0 +1,101 @@
+// Who has come back, told by how long callers say that they will wait.
+
+#include "core/pipeline/retry_detector.h"
+
+#include <chrono>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+namespace bulrushmount {
+namespace {
+
+using std::chrono_literals::operator""ms;
+using std::chrono_literals::operator""s;
+
+const KindName kKind("lookup");
+
+struct RetryCase {
+  const char* name;
+  // Said one after another, again and again, 10 ms apart, a hundred times.
+  std::vector<Duration> told;
+  // What is said then, and between which times that caller has tried.
+  Duration last;
+  Duration least;
+  Duration most;
+};
+
+class RetryDetectorTest : public testing::TestWithParam<RetryCase> {};
+
+TEST_P(RetryDetectorTest, TellsWhoHasComeBack) {
+  RetryDetector patience;
+  TimePoint now(100s);
+  for (std::size_t index = 0; index < 100; ++index) {
+    patience.EstimateElapsed(now, kKind,
+                             GetParam().told[index % GetParam().told.size()]);
+    now += 10ms;
+  }
+  const Duration waited = patience.EstimateElapsed(now, kKind, GetParam().last);
+  EXPECT_GE(waited, GetParam().least);
+  EXPECT_LE(waited, GetParam().most);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Callers,
+    RetryDetectorTest,
+    testing::Values(RetryCase{"New", {2000ms}, 2000ms, 0ms, 0ms},
+                    RetryCase{"Back", {2000ms}, 1600ms, 350ms, 400ms},
+                    // First tries differ by some part.
+                    RetryCase{"NewOfMany",
+                              {1990ms, 1720ms, 1810ms, 1900ms, 1760ms, 1960ms,
+                               1860ms},
+                              1730ms,
+                              0ms,
+                              0ms},
+                    // Two in three come back, at any time.
+                    RetryCase{"Overload",
+                              {1990ms, 1400ms, 700ms, 1720ms, 1200ms, 900ms,
+                               1810ms, 1100ms, 500ms, 1900ms, 1300ms, 600ms},
+                              1300ms,
+                              500ms,
+                              650ms},
+                    // No time stands out: who comes back is not to be seen.
+                    RetryCase{"Even",
+                              {250ms, 238ms, 225ms, 213ms, 200ms, 188ms, 175ms,
+                               163ms, 150ms, 138ms, 125ms, 113ms, 100ms, 88ms,
+                               75ms,  63ms,  50ms,  38ms,  25ms,  13ms},
+                              100ms,
+                              0ms,
+                              0ms}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+TEST(RetryDetectorLifeTest, TooFewRequestsSayNothing) {
+  RetryDetector patience;
+  EXPECT_EQ(patience.EstimateElapsed(TimePoint(1s), kKind, 2000ms), 0ms);
+  EXPECT_EQ(patience.EstimateElapsed(TimePoint(1s), kKind, 1500ms), 0ms);
+}
+
+TEST(RetryDetectorLifeTest, KindsAreApart) {
+  RetryDetector patience;
+  for (int request = 0; request < 50; ++request)
+    patience.EstimateElapsed(TimePoint(1s), kKind, 2000ms);
+  EXPECT_EQ(patience.EstimateElapsed(TimePoint(1s), KindName("book"), 500ms),
+            0ms);
+}
+
+// Symptom: all callers of a kind count as late for good.
+// Sequence: the callers' software is replaced by one that waits less.
+// Cause: the longest time of the old one was kept.
+TEST(RetryDetectorLifeTest, ALongestTimeThatIsSaidNoMoreIsForgotten) {
+  RetryDetector patience;
+  TimePoint now(1s);
+  for (; now < TimePoint(2s); now += 10ms)
+    patience.EstimateElapsed(now, kKind, 2000ms);
+  Duration waited{};
+  for (; now < TimePoint(70s); now += 10ms)
+    waited = patience.EstimateElapsed(now, kKind, 1000ms);
+  EXPECT_EQ(waited, 0ms);
+}
+
+}  // namespace
+}  // namespace bulrushmount
--- a/source/unit_tests/core/quarantine/quarantine_fleet.h
+++ b/source/unit_tests/core/quarantine/quarantine_fleet.h
@@ -113,7 +113,7 @@
         m_lost_as_suspects.insert(run.fingerprint);
       m_ends.push_back({run, RunEnd::kNodeLost});
     }
-    TellEntries();
+    NotifyEntries();
   }
   // It ran as a suspect on a node that was killed, or on a target that it or
   // another request crashed.
@@ -271,7 +271,7 @@
       }
     }
     DeliverGossip();
-    TellEntries();
+    NotifyEntries();
     for (std::size_t index = 0; index < size(); ++index) {
       if (IsRunning(index) && node(index).NextWakeup() <= m_now)
         node(index).OnTimer(m_now);
@@ -307,7 +307,7 @@
         node(run.owner).OnWorkEnded({run.fingerprint, run.is_suspect});
         ++m_counts[run.fingerprint].finished;
         m_ends.push_back({run, RunEnd::kFinished});
-        TellEntries();
+        NotifyEntries();
       }
     }
   }
@@ -336,12 +336,12 @@
         m_lost_as_suspects.insert(run.fingerprint);
       m_ends.push_back({run, RunEnd::kTargetLost});
     }
-    TellEntries();
+    NotifyEntries();
   }
 
   // A frozen entry reads its streams when it goes on; one that was replaced or
   // is cut off hears nothing.
-  void TellEntries() {
+  void NotifyEntries() {
     std::vector<EndedRun> waiting;
     for (const EndedRun& ended : std::exchange(m_ends, {})) {
       const Run& run = ended.run;
@@ -349,12 +349,12 @@
         waiting.push_back(ended);
       else if (m_alive[run.entry] && PeerOf(run.entry).id == run.entry_id &&
                m_network.SideOf(run.entry) == m_network.SideOf(run.owner))
-        TellEntry(run, ended.end);
+        NotifyEntry(run, ended.end);
     }
     m_ends = std::move(waiting);
   }
 
-  void TellEntry(const Run& run, RunEnd end) {
+  void NotifyEntry(const Run& run, RunEnd end) {
     Quarantine& entry = node(run.entry);
     const bool is_finished = end == RunEnd::kFinished;
     if (run.is_suspect) {
--- a/source/unit_tests/core/reporting/call_recorder_test.cc
+++ b/source/unit_tests/core/reporting/call_recorder_test.cc
@@ -68,9 +68,9 @@
                   CallVerdict::kNotCounted},
         JudgeCase{Outcome::kUnknown, Reason::kTargetLost, 1ms,
                   CallVerdict::kBad},
-        JudgeCase{Outcome::kUnknown, Reason::kCallerGone, 1ms,
+        JudgeCase{Outcome::kUnknown, Reason::kCallerDisconnected, 1ms,
                   CallVerdict::kNotCounted},
-        JudgeCase{Outcome::kUnknown, Reason::kCallerGone, 51ms,
+        JudgeCase{Outcome::kUnknown, Reason::kCallerDisconnected, 51ms,
                   CallVerdict::kBad}));
 
 // One bad call of weight 3 at the start; when it leaves each window.
--- a/source/unit_tests/core/settings/daemon_settings_test.cc
+++ b/source/unit_tests/core/settings/daemon_settings_test.cc
@@ -117,6 +117,10 @@
                   "line 4, column 3: address 127.0.0.1:1 stands twice"},
         FaultCase{"UnknownKey", "region: quito", "region: quito\ncolour: red",
                   "line 3, column 1: unknown key 'colour'"},
+        FaultCase{"RenamedKey", "region: quito",
+                  "region: quito\npolicies: {caller_patience: true}",
+                  "line 3, column 12: key 'caller_patience' has been renamed "
+                  "to 'retry_detector'"},
         FaultCase{"MissingKey", "region: quito\n", "",
                   "line 1, column 1: missing key 'region'"},
         FaultCase{"LogLevel", "region: quito", "region: quito\nlog_level: loud",
--- a/source/unit_tests/core/transport/caller_limits_test.cc
+++ b/source/unit_tests/core/transport/caller_limits_test.cc
@@ -28,7 +28,7 @@
     head.status = 200;
     exchange->Answer(std::move(head), "hello");
   }
-  void OnCallerGone(const CallerExchange&) override {}
+  void OnCallerDisconnected(const CallerExchange&) override {}
   bool IsRepeatable(const CallHead&) const override { return true; }
 
   int calls = 0;
@@ -170,7 +170,7 @@
       sink->Write(std::string(16 << 20, 'a'), [token](bool) {});
       sink->Finish([token](bool) {});
     }
-    void OnCallerGone(const CallerExchange&) override {}
+    void OnCallerDisconnected(const CallerExchange&) override {}
     bool IsRepeatable(const CallHead&) const override { return true; }
     // Held by the callbacks of the answer.
     std::weak_ptr<int> held;
--- a/source/unit_tests/core/transport/caller_pipeline_support.h
+++ b/source/unit_tests/core/transport/caller_pipeline_support.h
@@ -28,7 +28,7 @@
       on_call(exchange->head().target);
     calls[exchange->head().target] = std::move(exchange);
   }
-  void OnCallerGone(const CallerExchange& exchange) override {
+  void OnCallerDisconnected(const CallerExchange& exchange) override {
     ++gone[exchange.head().target];
   }
   bool IsRepeatable(const CallHead& head) const override {
--- a/source/unit_tests/core/transport/caller_server_test.cc
+++ b/source/unit_tests/core/transport/caller_server_test.cc
@@ -19,7 +19,7 @@
   void OnCall(std::shared_ptr<CallerExchange> exchange) override {
     calls.push_back(std::move(exchange));
   }
-  void OnCallerGone(const CallerExchange&) override { ++gone; }
+  void OnCallerDisconnected(const CallerExchange&) override { ++gone; }
   bool IsRepeatable(const CallHead&) const override { return is_repeatable; }
 
   std::vector<std::shared_ptr<CallerExchange>> calls;
--- a/source/unit_tests/core/transport/relay_test.cc
+++ b/source/unit_tests/core/transport/relay_test.cc
@@ -288,7 +288,7 @@
   ASSERT_TRUE(RunUntil(*loop, [this] { return target->connections() == 1; }));
   caller->Close();
   EXPECT_TRUE(RunUntil(*loop, [this] { return target->peer(0).is_at_end(); }));
-  EXPECT_EQ(first().brain.Count<CallerGone>(), 1U);
+  EXPECT_EQ(first().brain.Count<CallerDisconnected>(), 1U);
   EXPECT_EQ(owner->brain.Count<WorkCancelled>(), 1U);
 }
 
--- a/source/unit_tests/core/transport/transport_test_support.cc
+++ b/source/unit_tests/core/transport/transport_test_support.cc
@@ -170,7 +170,7 @@
     return {DispatchAttempt{call->call, AttemptNumber(1), owner, owner_endpoint,
                             head}};
   }
-  if (const auto* gone = std::get_if<CallerGone>(&event)) {
+  if (const auto* gone = std::get_if<CallerDisconnected>(&event)) {
     m_calls.erase(gone->call);
     return {CancelAttempt{gone->call, AttemptNumber(1)}};
   }
