--- a/source/core/admission/cold_start_limiter.cc
+++ b/source/core/admission/cold_start_limiter.cc
@@ -35,7 +35,6 @@
 void ColdStartLimiter::OnReplaced(TimePoint now) {
   m_starts.clear();
   m_cold_until = now;
-  m_unknown_until = std::min(m_unknown_until, now + kWindow);
   m_failed_at.reset();
 }
 
@@ -104,9 +103,14 @@
 }
 
 std::size_t ColdStartLimiter::Capacity(TimePoint now) const {
-  if (IsCold(now))
-    return AtLeastOne(*m_rate);
-  return AtLeastOne(*m_rate * m_settings.overage + m_settings.slack / 2);
+  const double capacity = *m_rate * m_settings.overage;
+  return now < m_unknown_until ? Reserve() : AtLeastOne(capacity);
+}
+
+std::size_t ColdStartLimiter::Reserve() const {
+  const double rest = *m_rate * m_settings.overage + m_settings.slack -
+                      std::floor(*m_rate * m_settings.overage);
+  return static_cast<std::size_t>(std::max(0.0, std::floor(rest)));
 }
 
 std::size_t ColdStartLimiter::StartsInWindow(TimePoint now) const {
@@ -119,11 +123,13 @@
 Duration ColdStartLimiter::WaitFor(TimePoint now, std::size_t ahead) const {
   if (!is_limited())
     return Duration::zero();
-  const Duration unknown = std::max(Duration::zero(), m_unknown_until - now);
   const std::size_t capacity = Capacity(now);
+  // Nothing is left beside what an earlier process may have started.
+  if (capacity == 0)
+    return m_unknown_until - now;
   const std::size_t starts = StartsInWindow(now);
   if (starts + ahead < capacity)
-    return unknown;
+    return Duration::zero();
   // Each start lets another one in when it leaves the window: first those that
   // were made, then those that can be made now, then their successors.
   const std::size_t leaving = starts + ahead - capacity;
@@ -131,7 +137,7 @@
   const auto windows = static_cast<std::int64_t>(leaving / capacity) + 1;
   const TimePoint start =
       turn < starts ? m_starts[m_starts.size() - starts + turn] : now;
-  return std::max(unknown, start + kWindow * windows - now);
+  return start + kWindow * windows - now;
 }
 
 }  // namespace bulrushmount
--- a/source/core/admission/cold_start_limiter.h
+++ b/source/core/admission/cold_start_limiter.h
@@ -33,14 +33,14 @@
 class ColdStartLimiter : public StartGate {
  public:
   // `now` is the start of the process: what an earlier one has started within
-  // the last second is not known.
+  // the last second is not known, and left room for.
   ColdStartLimiter(const ColdStartSettings& settings, TimePoint now);
 
   // Requests a second that the target tolerates while cold; empty: no bound.
   void SetRate(std::optional<double> per_second) { m_rate = per_second; }
 
-  // Another target, or another process of it, has taken the place: nothing was
-  // started on it yet.
+  // Another target, or another process of it, has taken the place: this process
+  // has started nothing on it yet.
   void OnReplaced(TimePoint now);
 
   // The target reports that it stays cold for this long; 0 from a report that
@@ -68,11 +68,13 @@
   void OnStarted(TimePoint now) override;
 
  private:
-  // Starts within any window that a target which is known to be cold, or is
-  // not known to be warm, may get.
+  // Starts within any window at a target that is cold, or is not known to be
+  // warm.
   std::size_t Capacity(TimePoint now) const;
   std::size_t StartsInWindow(TimePoint now) const;
   Duration WaitFor(TimePoint now, std::size_t ahead) const;
+  // What the target tolerates beside what an earlier process may have started.
+  std::size_t Reserve() const;
 
   const ColdStartSettings m_settings;
   std::optional<double> m_rate;
