Do not take a cold target for a disturbed one

Cause: a target that starts cold beside an owner that knows its predecessor's speed reports twice the usual time, which counts as interference, and works are held until the usual is learnt anew (1.5 to 3 s). Test: ColdAdmissionTest.HoldsWorksForInterferenceOnly, Cold fails without it.

--- a/source/core/admission/admission.cc
+++ b/source/core/admission/admission.cc
@@ -56,11 +56,23 @@
 AdmissionOutput Admission::SetSlowdown(TimePoint now, double slowdown) {
   m_slowdown = slowdown;
   m_usual.OnReported(now, slowdown);
+  if (m_is_cold)
+    m_cold_slowdown = std::min(m_cold_slowdown.value_or(slowdown), slowdown);
   return Settle(now);
 }
 
+void Admission::SetCold(bool is_cold) {
+  m_is_cold = is_cold;
+  if (!is_cold)
+    m_cold_slowdown.reset();
+}
+
+double Admission::UsualSlowdown() const {
+  return std::max(m_usual.slowdown(), m_cold_slowdown.value_or(0.0));
+}
+
 bool Admission::IsDisturbed() const {
-  return m_slowdown >= m_settings.hold_from_slowdown * m_usual.slowdown();
+  return m_slowdown >= m_settings.hold_from_slowdown * UsualSlowdown();
 }
 
 AdmissionOutput Admission::Drain(TimePoint now, Reason reason) {
@@ -228,7 +240,7 @@
     return Prospect::kLikely;
   const Duration left = *work.objective - now - m_settings.way_back;
   const auto takes = [this](Duration usual) {
-    return FromSeconds(ToSeconds(usual) * m_usual.slowdown());
+    return FromSeconds(ToSeconds(usual) * UsualSlowdown());
   };
   if (takes(m_service_times.FirstByte(work.kind, work.weight)) > left)
     return Prospect::kLate;
--- a/source/core/admission/admission.h
+++ b/source/core/admission/admission.h
@@ -131,6 +131,9 @@
 
   // The target's own word on its speed, as a multiple of its usual time.
   AdmissionOutput SetSlowdown(TimePoint now, double slowdown);
+  // Whether the target is in its cold start. Its slowdown is then no
+  // interference that passes in a moment.
+  void SetCold(bool is_cold);
   // Works wait for the target to be undisturbed.
   bool is_holding() const { return m_is_holding; }
 
@@ -197,6 +200,8 @@
   void PlanWakeup(TimePoint now);
 
   bool IsDisturbed() const;
+  // The target's slowdown when nothing interferes.
+  double UsualSlowdown() const;
   void Start(TimePoint now, const QueuedWork& work);
   void Release(const Running& running);
 
@@ -235,6 +240,9 @@
   std::optional<TimePoint> m_next_wakeup;
   double m_slowdown = 1.0;
   UsualSpeed m_usual;
+  bool m_is_cold = false;
+  // The least slowdown reported during the cold start; empty outside of one.
+  std::optional<double> m_cold_slowdown;
   bool m_is_holding = false;
 };
 
--- a/source/core/node_logic/owner_side.cc
+++ b/source/core/node_logic/owner_side.cc
@@ -146,6 +146,7 @@
 
 void OwnerSide::TakeLoadSample(TimePoint now, const TargetLoadSample& sample) {
   m_speed.OnLoadSample(now, sample);
+  m_admission.SetCold(m_cold_starts.IsCold(now));
   Apply(now, m_admission.SetSlowdown(now, sample.slowdown));
 }
 
--- a/source/core/node_logic/owner_target.cc
+++ b/source/core/node_logic/owner_target.cc
@@ -87,7 +87,7 @@
 void OwnerSide::TakeColdReport(TimePoint now, const ProbeAnswered& event) {
   const bool is_of_current =
       event.instance.value().empty() || event.instance == m_instance;
-  if (!is_of_current)
+  if (!is_of_current || !m_cold_starts.is_limited())
     return;
   if (!event.cold_time_left) {
     m_cold_starts.OnVerificationFailed(now);
@@ -96,7 +96,7 @@
   const bool was_cold = m_cold_starts.IsCold(now);
   m_cold_starts.OnVerified(now, now - event.latency, *event.cold_time_left);
   const bool is_cold = m_cold_starts.IsCold(now);
-  if (is_cold != was_cold && m_cold_starts.is_limited()) {
+  if (is_cold != was_cold) {
     LogLine(LogLevel::kInfo, is_cold ? "target.cold" : "target.warm")
         .Add("instance", m_instance)
         .Add("cold_ms", ToMilliseconds(*event.cold_time_left));
--- a/source/unit_tests/core/admission/admission_test.cc
+++ b/source/unit_tests/core/admission/admission_test.cc
@@ -477,5 +477,35 @@
                            return std::string(info.param.name);
                          });
 
+struct ColdCase {
+  const char* name;
+  bool is_cold;
+  double slowdown;
+  bool starts;
+};
+
+class ColdAdmissionTest : public AdmissionTest,
+                          public testing::WithParamInterface<ColdCase> {};
+
+// Guards against requests that wait out a cold start as if it were
+// interference: after a loss of power all targets are slow for seconds.
+TEST_P(ColdAdmissionTest, HoldsWorksForInterferenceOnly) {
+  m_admission.SetSlowdown(m_now, 1.0);
+  m_now += 10s;
+  m_admission.SetCold(GetParam().is_cold);
+  m_admission.SetSlowdown(m_now, 2.0);
+  m_admission.SetSlowdown(m_now, GetParam().slowdown);
+  EXPECT_EQ(Arrive("a", 2s).start.size(), GetParam().starts ? 1U : 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Targets,
+    ColdAdmissionTest,
+    testing::Values(ColdCase{"Warm", false, 1.0, true},
+                    ColdCase{"Disturbed", false, 7.0, false},
+                    ColdCase{"Cold", true, 2.0, true},
+                    ColdCase{"ColdAndDisturbed", true, 14.0, false}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 }  // namespace
 }  // namespace bulrushmount
