Report the concurrency that a cold target's rate keeps busy

Cold targets reported a limit by the bare rate and the usual time, 3, although 16 a second at twice the time keep 8 busy, so starts looked twice as slow as they were and entries asked on. Kept: what an owner reports is true now.

--- a/source/core/admission/cold_start_limiter.cc
+++ b/source/core/admission/cold_start_limiter.cc
@@ -74,7 +74,8 @@
     Duration service_time) const {
   if (!is_limited() || !IsCold(now))
     return std::nullopt;
-  return AtLeastOne(std::ceil(*m_rate * ToSeconds(service_time)));
+  const auto starts = static_cast<double>(Capacity(now));
+  return AtLeastOne(std::ceil(starts * ToSeconds(service_time)));
 }
 
 TimePoint ColdStartLimiter::NextStart(TimePoint now) const {
--- a/source/core/node_logic/owner_side.cc
+++ b/source/core/node_logic/owner_side.cc
@@ -188,7 +188,9 @@
 // A cold target has no use for more than its rate keeps busy.
 std::uint32_t OwnerSide::LimitAt(TimePoint now) const {
   const LoadReport report = m_admission.load();
-  const auto concurrency = m_cold_starts.Concurrency(now, report.service_time);
+  const Duration service_time =
+      FromSeconds(ToSeconds(report.service_time) * m_speed.slowdown());
+  const auto concurrency = m_cold_starts.Concurrency(now, service_time);
   if (!concurrency)
     return report.limit;
   return std::min(report.limit, static_cast<std::uint32_t>(*concurrency));
--- a/source/unit_tests/core/admission/cold_start_limiter_test.cc
+++ b/source/unit_tests/core/admission/cold_start_limiter_test.cc
@@ -136,6 +136,15 @@
   EXPECT_GE(m_limiter.ExpectedWait(m_now, kCapacity), 1900ms);
 }
 
+// Guards against reports of a full target that could start more: entries then
+// ask several owners for each request.
+TEST_F(ColdStartLimiterTest, ReportsTheConcurrencyThatItsRateKeepsBusy) {
+  EXPECT_EQ(m_limiter.Concurrency(m_now, 500ms), std::nullopt);
+  m_limiter.OnColdReported(m_now, 3s);
+  EXPECT_EQ(m_limiter.Concurrency(m_now, 500ms), kCapacity / 2);
+  EXPECT_EQ(m_limiter.Concurrency(m_now, 1ms), 1U);
+}
+
 // Whatever is reported and when, a target that turns cold at any moment gets no
 // more in any second from then on than it tolerates, as long as its health
 // endpoint tells the truth and at the latest 20 ms late.
