--- a/source/core/node_logic/node.cc
+++ b/source/core/node_logic/node.cc
@@ -193,6 +193,8 @@
     return TimePoint::max();
   if (m_has_announced_leave)
     return *m_leaving_since + m_settings.longest_leave - kEndMargin;
+  if (!m_owner.is_leaving())
+    return OwnerDrainsAt();
   return std::max(*m_leaving_since + m_settings.leave_time,
                   m_event_time + kQuietTime);
 }
@@ -381,13 +383,27 @@
     return;
   m_leaving_since = now;
   m_entry.Drain(now + LongestService(), LastAnswerAt(now));
-  m_owner.Drain(now);
+  DrainOwnerWhenDue(now);
   AnnounceLeaveWhenIdle(now);
   LogLine(LogLevel::kInfo, "node.leaving")
       .Add("calls", m_entry.size())
       .Add("works", m_owner.size());
 }
 
+// Load pattern: the nodes of a service are restarted one after the other while
+// their targets run on. A target that gets no work from the signal on is idle
+// until its node is back, and the others lack its slots; what is started in the
+// first half of the leave time ends well before the node does.
+void Node::DrainOwnerWhenDue(TimePoint now) {
+  if (!m_leaving_since || m_owner.is_leaving() || now < OwnerDrainsAt())
+    return;
+  m_owner.Drain(now);
+}
+
+TimePoint Node::OwnerDrainsAt() const {
+  return *m_leaving_since + m_settings.leave_time / 2;
+}
+
 // Calls that may take longer than this are not begun any more.
 TimePoint Node::LastAnswerAt(TimePoint leaving_since) const {
   if (m_settings.leave_time <= Duration::zero())
--- a/source/core/node_logic/node.h
+++ b/source/core/node_logic/node.h
@@ -111,6 +111,9 @@
   Duration LongestService() const;
   TimePoint LastAnswerAt(TimePoint leaving_since) const;
   TimePoint NextLeaveStep() const;
+  void DrainOwnerWhenDue(TimePoint now);
+  // Only once the node leaves.
+  TimePoint OwnerDrainsAt() const;
   void AnnounceLeaveWhenIdle(TimePoint now);
   void ExitWhenDone(TimePoint now);
   TimePoint SweepWakeup() const;
--- a/source/core/node_logic/node_settle.cc
+++ b/source/core/node_logic/node_settle.cc
@@ -35,6 +35,7 @@
 void Node::Settle(TimePoint now) {
   m_membership.Introduce(now, m_directory.TakeFound(m_membership.table()));
   TakeDirectoryNews(now);
+  DrainOwnerWhenDue(now);
   PublishTarget(now);
   UpdateMeasuringBudget(now);
   TakeEvacuations(now);
@@ -267,7 +268,7 @@
 
 void Node::PublishTarget(TimePoint now) {
   std::optional<TargetSummary> target = m_owner.life().Summary();
-  if (target && m_leaving_since)
+  if (target && m_owner.is_leaving())
     target->is_serving = false;
   m_membership.UpdateSelf(now, target, m_contracts.revision());
   std::optional<ServiceName> service;
--- a/source/core/node_logic/owner_side.h
+++ b/source/core/node_logic/owner_side.h
@@ -76,6 +76,7 @@
   void OnTimer(TimePoint now);
   TimePoint NextWakeup() const;
 
+  bool is_leaving() const { return m_is_leaving; }
   const TargetLife& life() const { return m_life; }
   LoadReport LoadAt(TimePoint now) const;
   // Where the target is reached; empty before its first announcement.
