--- a/source/core/pipeline/retry_detector.h
+++ b/source/core/pipeline/retry_detector.h
@@ -24,7 +24,9 @@
  public:
   // `timeout` is the caller's remaining timeout. Returns the estimated time
   // since its first attempt; 0 for a first attempt, or if unknown.
-  Duration EstimateElapsed(TimePoint now, const KindName& kind, Duration timeout);
+  Duration EstimateElapsed(TimePoint now,
+                           const KindName& kind,
+                           Duration timeout);
 
  private:
   static constexpr std::size_t kBins = 20;
--- a/source/core/target_state/refused_reports.h
+++ b/source/core/target_state/refused_reports.h
@@ -23,8 +23,8 @@
   static constexpr Duration kForgetAfter = std::chrono::minutes(10);
 
   bool ShouldLog(TimePoint now,
-                    const InstanceId& sender,
-                    std::string_view fault) {
+                 const InstanceId& sender,
+                 std::string_view fault) {
     if (now - m_since > kForgetAfter) {
       m_reported.clear();
       m_since = now;
