--- a/source/core/admission/cold_start_limiter.cc
+++ b/source/core/admission/cold_start_limiter.cc
@@ -125,7 +125,7 @@
   if (!is_limited())
     return Duration::zero();
   const std::size_t capacity = Capacity(now);
-  // Nothing is left beside what an earlier process may have started.
+  // An earlier process may have used up what the target tolerates.
   if (capacity == 0)
     return m_unknown_until - now;
   const std::size_t starts = StartsInWindow(now);
--- a/source/core/admission/cold_start_limiter.h
+++ b/source/core/admission/cold_start_limiter.h
@@ -43,13 +43,13 @@
   // has started nothing on it yet.
   void OnReplaced(TimePoint now);
 
-  // The target reports that it stays cold for this long; 0 from a report that
-  // may be old says nothing.
+  // The target reports that it stays cold for this long. 0 is ignored: the
+  // report may be old.
   void OnColdReported(TimePoint now, Duration cold_time_left);
 
   // The health endpoint's answer to a question that was sent at `asked_at`.
   void OnVerified(TimePoint now, TimePoint asked_at, Duration cold_time_left);
-  // The health endpoint did not answer, or without a word on this.
+  // The health endpoint did not answer, or its answer did not say.
   void OnVerificationFailed(TimePoint now);
 
   bool is_limited() const { return m_rate.has_value(); }
@@ -73,7 +73,7 @@
   std::size_t Capacity(TimePoint now) const;
   std::size_t StartsInWindow(TimePoint now) const;
   Duration WaitFor(TimePoint now, std::size_t ahead) const;
-  // What the target tolerates beside what an earlier process may have started.
+  // What the target tolerates in addition to the starts of an earlier process.
   std::size_t Reserve() const;
 
   const ColdStartSettings m_settings;
--- a/source/core/admission/start_gate.h
+++ b/source/core/admission/start_gate.h
@@ -1,5 +1,5 @@
-// Decides when an admission may start the next request, beside the number of
-// free slots.
+// Decides when an admission may start the next request, in addition to the
+// number of free slots.
 
 #ifndef BULRUSHMOUNT_CORE_ADMISSION_START_GATE_H_
 #define BULRUSHMOUNT_CORE_ADMISSION_START_GATE_H_
--- a/source/core/limits/limits_settings.h
+++ b/source/core/limits/limits_settings.h
@@ -54,7 +54,7 @@
   Duration rate_saving = std::chrono::milliseconds(500);
   // Requests without an answer after which an entry takes the home for silent.
   std::uint32_t silent_after = 3;
-  // What an entry admits of a workspace before it has heard from the home, if
+  // What an entry admits of a workspace before the first report of the home, if
   // the limit divided by the members is less: a first call must not wait.
   double initial_units = 4;
   std::uint32_t initial_in_flight = 4;
--- a/source/core/node_logic/node.h
+++ b/source/core/node_logic/node.h
@@ -154,7 +154,7 @@
   // The configuration's sync was told what the members' rows let expect.
   bool m_has_set_expectation = false;
   bool m_was_table_available = true;
-  // What the router and the owner were told of evacuations.
+  // The evacuations that the router and the owner go by.
   std::optional<std::vector<AvailabilityZone>> m_evacuated;
   TableEpoch m_epoch;
   // The newest revision that the configuration's sync was told of.
--- a/source/core/node_logic/node_settings.h
+++ b/source/core/node_logic/node_settings.h
@@ -59,7 +59,7 @@
   // A target's cold start, over which its share of picks rises.
   Duration warmup = std::chrono::seconds(10);
 
-  // What a cold target tolerates beside the rate that its service states.
+  // What a cold target tolerates in addition to the rate of its service.
   ColdStartSettings cold_start;
 
   // A convicted request is refused for this long.
--- a/source/unit_tests/core/pipeline/retry_detector_test.cc
+++ b/source/unit_tests/core/pipeline/retry_detector_test.cc
@@ -1,4 +1,4 @@
-// Who has come back, told by how long callers say that they will wait.
+// Tests of `core/pipeline/retry_detector.h`.
 
 #include "core/pipeline/retry_detector.h"
 
@@ -17,9 +17,9 @@
 
 struct RetryCase {
   const char* name;
-  // Said one after another, again and again, 10 ms apart, a hundred times.
-  std::vector<Duration> told;
-  // What is said then, and between which times that caller has tried.
+  // Timeouts of requests 10 ms apart; the list is repeated a hundred times.
+  std::vector<Duration> timeouts;
+  // The next timeout, and the range of the elapsed time expected for it.
   Duration last;
   Duration least;
   Duration most;
@@ -27,12 +27,12 @@
 
 class RetryDetectorTest : public testing::TestWithParam<RetryCase> {};
 
-TEST_P(RetryDetectorTest, TellsWhoHasComeBack) {
+TEST_P(RetryDetectorTest, DetectsRetries) {
   RetryDetector patience;
   TimePoint now(100s);
   for (std::size_t index = 0; index < 100; ++index) {
-    patience.EstimateElapsed(now, kKind,
-                             GetParam().told[index % GetParam().told.size()]);
+    patience.EstimateElapsed(
+        now, kKind, GetParam().timeouts[index % GetParam().timeouts.size()]);
     now += 10ms;
   }
   const Duration waited = patience.EstimateElapsed(now, kKind, GetParam().last);
@@ -83,7 +83,7 @@
             0ms);
 }
 
-// Symptom: all callers of a kind count as late for good.
+// Symptom: all callers of a kind count as retries permanently.
 // Sequence: the callers' software is replaced by one that waits less.
 // Cause: the longest time of the old one was kept.
 TEST(RetryDetectorLifeTest, ALongestTimeThatIsSaidNoMoreIsForgotten) {
--- a/source/unit_tests/core/target_state/refused_reports_test.cc
+++ b/source/unit_tests/core/target_state/refused_reports_test.cc
@@ -1,4 +1,4 @@
-// Words that were not taken are told, each once, and never too many.
+// Refused reports are logged once each, up to a bound.
 
 #include "core/target_state/refused_reports.h"
 
@@ -12,36 +12,36 @@
 
 using std::chrono_literals::operator""s;
 
-const InstanceId kSpeaker("i-1");
+const InstanceId kSender("i-1");
 
-TEST(RefusedReportsTest, EachFaultOfASpeakerIsToldOnce) {
-  RefusedReports words;
+TEST(RefusedReportsTest, LogsEachFaultOfASenderOnce) {
+  RefusedReports reports;
   const TimePoint now{1s};
-  EXPECT_TRUE(words.ShouldLog(now, kSpeaker, "slots"));
-  EXPECT_FALSE(words.ShouldLog(now + 1s, kSpeaker, "slots"));
-  EXPECT_TRUE(words.ShouldLog(now + 1s, kSpeaker, "state"));
-  EXPECT_TRUE(words.ShouldLog(now + 1s, InstanceId("i-2"), "slots"));
+  EXPECT_TRUE(reports.ShouldLog(now, kSender, "slots"));
+  EXPECT_FALSE(reports.ShouldLog(now + 1s, kSender, "slots"));
+  EXPECT_TRUE(reports.ShouldLog(now + 1s, kSender, "state"));
+  EXPECT_TRUE(reports.ShouldLog(now + 1s, InstanceId("i-2"), "slots"));
 }
 
 // Symptom: the log or the memory fills. Sequence: another writer reports ever
-// new targets, each wrongly. Cause: each of them is told and remembered.
-TEST(RefusedReportsTest, EverNewSpeakersAreBounded) {
-  RefusedReports words;
-  std::size_t told = 0;
-  for (int speaker = 0; speaker < 10'000; ++speaker) {
-    const InstanceId id(fmt::format("i-{}", speaker));
-    told += words.ShouldLog(TimePoint{1s}, id, "slots") ? 1 : 0;
+// new targets, each wrongly. Cause: each of them is logged and remembered.
+TEST(RefusedReportsTest, BoundsLinesOfEverNewSenders) {
+  RefusedReports reports;
+  std::size_t logged = 0;
+  for (int sender = 0; sender < 10'000; ++sender) {
+    const InstanceId id(fmt::format("i-{}", sender));
+    logged += reports.ShouldLog(TimePoint{1s}, id, "slots") ? 1 : 0;
   }
-  EXPECT_EQ(told, RefusedReports::kMaxReported);
+  EXPECT_EQ(logged, RefusedReports::kMaxReported);
 }
 
-TEST(RefusedReportsTest, WhatStillGoesWrongIsToldAgainLater) {
-  RefusedReports words;
+TEST(RefusedReportsTest, LogsAPersistingFaultAgainLater) {
+  RefusedReports reports;
   const TimePoint now{1s};
-  EXPECT_TRUE(words.ShouldLog(now, kSpeaker, "slots"));
+  EXPECT_TRUE(reports.ShouldLog(now, kSender, "slots"));
   const TimePoint later = now + RefusedReports::kForgetAfter + 1s;
-  EXPECT_TRUE(words.ShouldLog(later, kSpeaker, "slots"));
-  EXPECT_FALSE(words.ShouldLog(later, kSpeaker, "slots"));
+  EXPECT_TRUE(reports.ShouldLog(later, kSender, "slots"));
+  EXPECT_FALSE(reports.ShouldLog(later, kSender, "slots"));
 }
 
 }  // namespace
