--- a/source/unit_tests/bulrushmountctl/ctl_test.cc
+++ b/source/unit_tests/bulrushmountctl/ctl_test.cc
@@ -274,9 +274,13 @@
 
 TEST_P(CtlEvacuationTest, ChangesTheContractOrSaysWhyNot) {
   const bool is_there = *GetParam().contract != '\0';
-  ScriptedNode node({{200, kEvacuationStatus, ""},
-                     {is_there ? 200 : 404, GetParam().contract, "\"5\""},
-                     {200, R"({"revision":4})", ""}});
+  // The node waits for as many requests as it has replies.
+  std::vector<ScriptedReply> replies = {
+      {200, kEvacuationStatus, ""},
+      {is_there ? 200 : 404, GetParam().contract, "\"5\""}};
+  if (GetParam().exit == CtlExit::kDone)
+    replies.push_back({200, R"({"revision":4})", ""});
+  ScriptedNode node(replies);
   const CtlResult result = Ctl({"--node", node.address(), "evacuation",
                                 GetParam().verb, GetParam().zone});
   EXPECT_EQ(result.exit, GetParam().exit) << result.error;
