--- a/source/core/store/table_types.h
+++ b/source/core/store/table_types.h
@@ -30,6 +30,8 @@
   TableEpoch epoch;
   RowVersion version;
 
+  // clang-tidy 14 takes the defaulted comparison with 0 for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const TablePosition&, const TablePosition&) = default;
 };
 
--- a/source/unit_tests/bulrushmountctl/ctl_test.cc
+++ b/source/unit_tests/bulrushmountctl/ctl_test.cc
@@ -277,7 +277,7 @@
   // The node waits for as many requests as it has replies.
   std::vector<ScriptedReply> replies = {
       {200, kEvacuationStatus, ""},
-      {is_there ? 200 : 404, GetParam().contract, "\"5\""}};
+      {is_there ? 200U : 404U, GetParam().contract, "\"5\""}};
   if (GetParam().exit == CtlExit::kDone)
     replies.push_back({200, R"({"revision":4})", ""});
   ScriptedNode node(replies);
