--- a/source/core/admission/start_gate.h
+++ b/source/core/admission/start_gate.h
@@ -4,6 +4,7 @@
 #ifndef BULRUSHMOUNT_CORE_ADMISSION_START_GATE_H_
 #define BULRUSHMOUNT_CORE_ADMISSION_START_GATE_H_
 
+#include <algorithm>
 #include <cstddef>
 
 #include "core/common/time.h"
@@ -34,6 +35,29 @@
   void OnStarted(TimePoint) override {}
 };
 
+// Admits a start when two gates do. Both must outlive the object.
+class CombinedStartGate : public StartGate {
+ public:
+  CombinedStartGate(StartGate& first, StartGate& second)
+      : m_first(first), m_second(second) {}
+
+  bool MayStart(TimePoint now) const override {
+    return m_first.MayStart(now) && m_second.MayStart(now);
+  }
+  Duration ExpectedWait(TimePoint now, std::size_t ahead) const override {
+    return std::max(m_first.ExpectedWait(now, ahead),
+                    m_second.ExpectedWait(now, ahead));
+  }
+  void OnStarted(TimePoint now) override {
+    m_first.OnStarted(now);
+    m_second.OnStarted(now);
+  }
+
+ private:
+  StartGate& m_first;
+  StartGate& m_second;
+};
+
 }  // namespace bulrushmount
 
 #endif  // BULRUSHMOUNT_CORE_ADMISSION_START_GATE_H_
--- a/source/core/common/ids.h
+++ b/source/core/common/ids.h
@@ -43,6 +43,10 @@
 // The id that a target reports; a different one at each start.
 using InstanceId = StrongType<struct InstanceIdTag, std::string>;
 
+// Identifies one process of a target at all nodes, also after its owner has
+// restarted. 0 if unknown.
+using TargetProcess = StrongType<struct TargetProcessTag, std::uint64_t>;
+
 // Numbers all accepted configurations in order; 0 means that none is known yet.
 using Revision = StrongType<struct RevisionTag, std::uint64_t>;
 
--- a/source/core/common/outcome.cc
+++ b/source/core/common/outcome.cc
@@ -63,6 +63,7 @@
     ReasonTraits{"wrong-target", kUnavailable, 1s},
     ReasonTraits{"throttled", kUnavailable, 1s},
     ReasonTraits{"evacuated", kUnavailable, 1s},
+    ReasonTraits{"target-rate-limit", kUnavailable, 1s},
 };
 
 static_assert(kTraits.size() == static_cast<std::size_t>(kLastReason) + 1);
--- a/source/core/common/outcome.h
+++ b/source/core/common/outcome.h
@@ -78,9 +78,12 @@
   kThrottled = 35,
   // State of the system: the operator has evacuated the target's zone.
   kEvacuated = 36,
+  // State of the system: the target accepts no more requests in time at the
+  // rate that it has named.
+  kTargetRateLimit = 37,
 };
 
-inline constexpr Reason kLastReason = Reason::kEvacuated;
+inline constexpr Reason kLastReason = Reason::kTargetRateLimit;
 
 // How a reason is reported to callers.
 struct ReasonTraits {
--- a/source/core/membership/gossip_codec.cc
+++ b/source/core/membership/gossip_codec.cc
@@ -141,6 +141,7 @@
     target.set_slots(member.target->slots);
     target.set_is_serving(member.target->is_serving);
     target.set_is_warming(member.target->is_warming);
+    target.set_process(member.target->process.value());
   }
   const std::size_t bytes = record.ByteSizeLong() + kNestedOverhead;
   if (!Fits(bytes)) {
@@ -215,9 +216,12 @@
   member.revision = Revision(record.revision());
   if (record.has_target()) {
     const gossip::Target& target = record.target();
-    member.target = TargetSummary{
-        ServiceName(name(target.service())), Incarnation(target.incarnation()),
-        target.slots(), target.is_serving(), target.is_warming()};
+    member.target = TargetSummary{ServiceName(name(target.service())),
+                                  Incarnation(target.incarnation()),
+                                  target.slots(),
+                                  target.is_serving(),
+                                  target.is_warming(),
+                                  TargetProcess(target.process())};
   }
   return member;
 }
--- a/source/core/membership/member.h
+++ b/source/core/membership/member.h
@@ -47,6 +47,8 @@
   bool is_serving = false;
   // Whether the target is still in its cold start.
   bool is_warming = false;
+  // Unlike `incarnation`, the same after a restart of the owner.
+  TargetProcess process{};
 
   friend bool operator==(const TargetSummary&, const TargetSummary&) = default;
 };
--- a/source/core/node_logic/call_types.h
+++ b/source/core/node_logic/call_types.h
@@ -64,6 +64,22 @@
   Duration max_hold{};
   // Remaining time of the latency objective; empty if there is none.
   std::optional<Duration> objective_left{};
+  // The rate limit that this process of the target last named to the entry;
+  // empty if the entry knows none. An owner that has restarted does not know it
+  // yet.
+  std::optional<double> target_rate_limit{};
+  TargetProcess target_process{};
+};
+
+// What a target states in its answers about the requests that it accepts.
+struct TargetNotice {
+  // Requests per second that the target accepts from all nodes together; empty
+  // if it names no limit.
+  std::optional<double> rate_limit;
+  // The target is leaving and accepts no new requests.
+  bool is_leaving = false;
+
+  friend bool operator==(const TargetNotice&, const TargetNotice&) = default;
 };
 
 // Load that a target reports with an answer, at that moment.
@@ -89,6 +105,10 @@
   // Expected service time of a request that starts now, as a multiple of the
   // usual one.
   double slowdown = 1.0;
+  // The target's process and its last notice. Meaningless if the process is
+  // unknown.
+  TargetProcess process{};
+  TargetNotice notice{};
 
   friend bool operator==(const LoadReport&, const LoadReport&) = default;
 };
--- a/source/core/node_logic/entry_side.cc
+++ b/source/core/node_logic/entry_side.cc
@@ -57,10 +57,10 @@
     : m_parts(parts),
       m_retries(MakeRetryBudget(settings)),
       m_pipeline(*this),
-      m_dispatcher(
-          MakeDispatcherSettings(settings),
-          Dispatcher::Parts{m_pipeline, parts.router, *m_retries, parts.claims,
-                            parts.owners, parts.random, parts.actions}),
+      m_dispatcher(MakeDispatcherSettings(settings),
+                   Dispatcher::Parts{m_pipeline, parts.router, *m_retries,
+                                     parts.claims, parts.notices, parts.owners,
+                                     parts.random, parts.actions}),
       m_has_route_document(settings.has_route_document),
       m_has_retry_after_policy(settings.policies.retry_after) {
   AddFilters(settings);
--- a/source/core/node_logic/entry_side.h
+++ b/source/core/node_logic/entry_side.h
@@ -23,6 +23,7 @@
 #include "core/routes/route_table.h"
 #include "core/routing/retry_budget.h"
 #include "core/routing/router.h"
+#include "core/routing/target_notices.h"
 
 namespace bulrushmount::detail {
 
@@ -35,6 +36,7 @@
     Quarantine& quarantine;
     ClaimBook& claims;
     Router& router;
+    TargetNotices& notices;
     CallRecorder& recorder;
     TrafficMetrics& metrics;
     const OwnerDirectory& owners;
--- a/source/core/node_logic/events.h
+++ b/source/core/node_logic/events.h
@@ -114,6 +114,10 @@
   bool is_wrong_target = false;
   // Empty if the target does not report its load.
   std::optional<TargetLoadSample> load_sample{};
+  TargetNotice notice{};
+  // Whether `notice` states the rate limit; if not, the last known one stays in
+  // force.
+  bool is_rate_limit_stated = true;
 };
 
 struct TargetAnswerEnded {
@@ -166,6 +170,8 @@
   std::optional<TargetLoadSample> load_sample{};
   // How long the target stays cold; empty if not reported.
   std::optional<Duration> cold_time_left{};
+  // A missing rate limit does not withdraw one.
+  TargetNotice notice{};
 };
 
 struct ProbeFailed {
--- a/source/core/node_logic/node.h
+++ b/source/core/node_logic/node.h
@@ -33,6 +33,7 @@
 #include "core/routes/route_document.h"
 #include "core/routes/route_table.h"
 #include "core/routing/router.h"
+#include "core/routing/target_notices.h"
 
 namespace bulrushmount::detail {
 
@@ -147,6 +148,7 @@
   mutable MetricsRegistry m_registry;
   TrafficMetrics m_metrics;
   Router m_router;
+  TargetNotices m_notices;
   OwnerSide m_owner;
   ProbeScheduler m_probes;
   EntrySide m_entry;
--- a/source/core/node_logic/node_pages.cc
+++ b/source/core/node_logic/node_pages.cc
@@ -15,6 +15,9 @@
 
 namespace {
 
+// Value of the gauge for a target without a rate limit; 0 is a valid limit.
+constexpr double kNoRateLimit = -1;
+
 boost::json::object ToJson(const Member& member) {
   boost::json::object object{
       {"id", ToHex(member.id)},
@@ -39,6 +42,10 @@
       {"queued", load.queued},
       {"limit", load.limit},
       {"service_time_ms", ToMilliseconds(load.service_time)},
+      {"rate_limit", load.notice.rate_limit
+                         ? boost::json::value(*load.notice.rate_limit)
+                         : boost::json::value()},
+      {"leaving", load.notice.is_leaving},
   };
 }
 
@@ -63,6 +70,12 @@
            "Requests that the target runs.", load.in_flight);
   SetGauge(registry, "bulrushmount_target_queued",
            "Requests that wait for the target.", load.queued);
+  SetGauge(registry, "bulrushmount_target_rate_limit",
+           "Requests per second that the target accepts; -1 without a limit.",
+           load.notice.rate_limit.value_or(kNoRateLimit));
+  SetGauge(registry, "bulrushmount_target_leaving",
+           "Whether the target has announced that it is leaving.",
+           load.notice.is_leaving ? 1 : 0);
 }
 
 void AddGossip(MetricsRegistry& registry, const MembershipCounters& gossip) {
--- a/source/core/node_logic/node_updates.cc
+++ b/source/core/node_logic/node_updates.cc
@@ -275,6 +275,8 @@
   std::optional<TargetSummary> target = m_owner.life().Summary();
   if (target && m_owner.is_leaving())
     target->is_serving = false;
+  if (target)
+    target->process = m_owner.process();
   m_membership.UpdateSelf(now, target, m_contracts.revision());
   std::optional<ServiceName> service;
   if (target)
--- a/source/core/node_logic/owned_work.cc
+++ b/source/core/node_logic/owned_work.cc
@@ -44,6 +44,10 @@
       .Add("queued", load.queued)
       .Add("limit", load.limit)
       .Add("left_ms", Milliseconds(work.deadline - now));
+  if (load.notice.rate_limit)
+    line.Add("rate_limit", *load.notice.rate_limit);
+  if (load.notice.is_leaving)
+    line.Add("leaving", true);
 }
 
 }  // namespace bulrushmount::detail
--- a/source/core/node_logic/owned_work.h
+++ b/source/core/node_logic/owned_work.h
@@ -24,6 +24,7 @@
   int status = 0;
   // State at the hand-over, for the log.
   TimePoint started_at;
+  TargetProcess process;
   std::uint32_t running_at_start = 0;
   double slowdown_at_start = 1.0;
   Duration slowdown_age{};
--- a/source/core/node_logic/owner_side.cc
+++ b/source/core/node_logic/owner_side.cc
@@ -45,8 +45,9 @@
       m_cold_starts(settings.cold_start, now),
       m_admission(AdmissionSettingsOf(settings),
                   MakeConcurrencyLimit(settings),
-                  &m_cold_starts),
+                  &m_start_gate),
       m_health_checker(routes, actions),
+      m_stream_ip(settings.stream_endpoint.ip),
       m_needs_crash(settings.needs_crash_to_suspect),
       m_has_ranks(settings.policies.ranks) {}
 
@@ -64,6 +65,7 @@
   // twice.
   if (m_works.contains(event.work))
     return;
+  ApplyRelayedRateLimit(now, event.head);
   const Reason reason = RefusalReason(now, event.head);
   OwnedWork work;
   work.head = event.head;
@@ -175,7 +177,7 @@
 StartConditions OwnerSide::Conditions(TimePoint now) const {
   const LoadReport report = m_admission.load();
   const double usual = ToSeconds(report.service_time);
-  const Duration wait = m_cold_starts.ExpectedWait(now, report.queued);
+  const Duration wait = m_start_gate.ExpectedWait(now, report.queued);
   return {.in_flight = report.in_flight,
           .queued = report.queued,
           .limit = LimitAt(now),
@@ -207,6 +209,8 @@
   LoadReport report = m_admission.load();
   report.limit = LimitAt(now);
   report.slowdown = EstimateSlowdown(Conditions(now));
+  report.process = m_process;
+  report.notice = notice();
   return report;
 }
 
@@ -230,6 +234,7 @@
   const auto found = m_works.find(event.work);
   if (found == m_works.end() || !found->second.is_handed_over)
     return;
+  ApplyNotice(now, found->second, event);
   if (event.is_shed) {
     EndNotRun(now, event.work, Reason::kShed, RequestResult::kShed);
     return;
@@ -372,16 +377,23 @@
 
 void OwnerSide::Apply(TimePoint now, const AdmissionOutput& output) {
   for (const AdmissionRefusal& refusal : output.refuse) {
+    // While the rate of the target delays starts, it is what a request would
+    // have to wait for.
+    const bool is_by_rate =
+        refusal.reason == Reason::kOverloaded && !m_start_rate.MayStart(now);
+    const Reason reason =
+        is_by_rate ? Reason::kTargetRateLimit : refusal.reason;
     if (const std::optional<OwnedWork> work = Take(refusal.work)) {
-      RecordEnd(now, *work, TraitsOf(refusal.reason).token);
+      RecordEnd(now, *work, TraitsOf(reason).token);
       m_quarantine.OnWorkEnded(work->admitted());
     }
-    Refuse(now, refusal.work, refusal.reason);
+    Refuse(now, refusal.work, reason);
   }
   for (const WorkId id : output.start) {
     OwnedWork& work = m_works.at(id);
     work.is_handed_over = true;
     work.started_at = now;
+    work.process = m_process;
     work.running_at_start = m_admission.load().in_flight;
     work.slowdown_at_start = m_speed.slowdown();
     work.slowdown_age = m_speed.AgeAt(now);
--- a/source/core/node_logic/owner_side.h
+++ b/source/core/node_logic/owner_side.h
@@ -7,12 +7,15 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <unordered_map>
 
 #include "core/admission/admission.h"
 #include "core/admission/cold_start_limiter.h"
 #include "core/admission/start_estimate.h"
+#include "core/admission/start_gate.h"
+#include "core/admission/start_rate_limiter.h"
 #include "core/common/endpoint.h"
 #include "core/common/ids.h"
 #include "core/common/time.h"
@@ -79,6 +82,12 @@
   bool is_leaving() const { return m_is_leaving; }
   const TargetLifecycle& life() const { return m_life; }
   LoadReport LoadAt(TimePoint now) const;
+  // The current process of the target; 0 before its first announcement.
+  TargetProcess process() const { return m_process; }
+  // The last notice of that process.
+  TargetNotice notice() const {
+    return {m_start_rate.rate(), m_is_target_leaving};
+  }
   // Endpoint of the target; empty before its first announcement.
   const std::optional<Endpoint>& endpoint() const { return m_endpoint; }
   std::size_t size() const { return m_works.size(); }
@@ -98,6 +107,20 @@
   std::uint32_t LimitAt(TimePoint now) const;
   // Start conditions for a request of this rank.
   StartConditions ConditionsOf(TimePoint now, Rank rank) const;
+  // The target has another process, which has not stated anything yet.
+  void SetProcess(TimePoint now, TargetProcess process);
+  void ApplyNotice(TimePoint now,
+                   const OwnedWork& work,
+                   const TargetAnswerBegun& answer);
+  void ApplyProbedNotice(TimePoint now, const ProbeAnswered& event);
+  // Applies a rate limit that the target has named to the entry of `head`, if
+  // it has named none to this process of the owner yet.
+  void ApplyRelayedRateLimit(TimePoint now, const WorkHead& head);
+  // `source` is where the limit was stated, for the log.
+  void SetRateLimit(TimePoint now,
+                    const std::optional<double>& rate_limit,
+                    std::string_view source);
+  void OnLeavingAnnounced(TimePoint now, std::string_view source);
   void ApplyColdReport(TimePoint now, const ProbeAnswered& event);
   void VerifyWarmState(TimePoint now);
   void ApplyLoadSample(TimePoint now, const TargetLoadSample& sample);
@@ -143,6 +166,8 @@
   ActionSink& m_actions;
   TargetLifecycle m_life;
   ColdStartLimiter m_cold_starts;
+  StartRateLimiter m_start_rate;
+  CombinedStartGate m_start_gate{m_cold_starts, m_start_rate};
   Admission m_admission;
   std::unordered_map<WorkId, OwnedWork> m_works;
   std::optional<Endpoint> m_endpoint;
@@ -160,6 +185,13 @@
   std::uint64_t m_replacement_count = 0;
   InstanceId m_instance;
   std::optional<ProcessStart> m_process_started;
+  // The address of this node, which tells targets without an id apart.
+  const std::string m_stream_ip;
+  TargetProcess m_process;
+  // Whether m_process has stated to this node which rate it accepts.
+  bool m_is_rate_limit_stated = false;
+  // Final: m_process gets no new requests.
+  bool m_is_target_leaving = false;
   // Whether the priorities of routes are applied.
   bool m_has_ranks = true;
   bool m_needs_crash = false;
--- a/source/core/node_logic/owner_target.cc
+++ b/source/core/node_logic/owner_target.cc
@@ -1,14 +1,127 @@
 // Implements `owner_side.h`: reports of the local target and their effect on
 // its requests.
 
+#include <algorithm>
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+#include "core/common/hex.h"
 #include "core/common/logging.h"
 #include "core/node_logic/owner_side.h"
 
 namespace bulrushmount::detail {
 
+namespace {
+
+// `identity` must be the same whenever this process of the target is seen, at
+// any owner.
+TargetProcess IdentifyProcess(const std::string& identity) {
+  return TargetProcess(std::max<std::uint64_t>(
+      1, XXH3_64bits(identity.data(), identity.size())));
+}
+
+TargetProcess ProcessOf(const TargetHeartbeat& heartbeat) {
+  const std::int64_t started =
+      heartbeat.started ? heartbeat.started->time_since_epoch().count() : 0;
+  return IdentifyProcess(fmt::format("{} {}", heartbeat.instance, started));
+}
+
+// Without ids, targets are told apart by their addresses.
+TargetProcess ProcessOf(const std::string& stream_ip,
+                        const TargetAnnounced& announced) {
+  return IdentifyProcess(fmt::format("{} {} {}", stream_ip,
+                                     ToString(announced.endpoint),
+                                     announced.incarnation));
+}
+
+}  // namespace
+
+void OwnerSide::SetProcess(TimePoint now, TargetProcess process) {
+  if (m_process == process)
+    return;
+  m_process = process;
+  m_is_rate_limit_stated = false;
+  m_is_target_leaving = false;
+  m_start_rate.SetRate(now, std::nullopt);
+}
+
+void OwnerSide::ApplyNotice(TimePoint now,
+                            const OwnedWork& work,
+                            const TargetAnswerBegun& answer) {
+  // An answer for another target states nothing about this one.
+  if (answer.is_wrong_target || work.process != m_process)
+    return;
+  // Whether a target states its limit where it did not run the request is up to
+  // it, so that only an answer to a run withdraws one.
+  const bool is_limit_stated = answer.is_rate_limit_stated &&
+                               (answer.notice.rate_limit || !answer.is_shed);
+  if (is_limit_stated) {
+    m_is_rate_limit_stated = true;
+    SetRateLimit(now, answer.notice.rate_limit, "answer");
+  }
+  if (answer.notice.is_leaving)
+    OnLeavingAnnounced(now, "answer");
+}
+
+void OwnerSide::ApplyProbedNotice(TimePoint now, const ProbeAnswered& event) {
+  if (event.instance != m_instance)
+    return;
+  if (event.notice.rate_limit) {
+    m_is_rate_limit_stated = true;
+    SetRateLimit(now, event.notice.rate_limit, "probe");
+  }
+  if (event.notice.is_leaving)
+    OnLeavingAnnounced(now, "probe");
+}
+
+// Limits that entries know may be outdated, so the lowest one applies until the
+// target states its limit.
+void OwnerSide::ApplyRelayedRateLimit(TimePoint now, const WorkHead& head) {
+  const bool applies = head.target_rate_limit &&
+                       head.target_process == m_process &&
+                       m_process != TargetProcess() && !m_is_rate_limit_stated;
+  if (!applies)
+    return;
+  if (!m_start_rate.rate() || *head.target_rate_limit < *m_start_rate.rate())
+    SetRateLimit(now, head.target_rate_limit, "entry");
+}
+
+void OwnerSide::SetRateLimit(TimePoint now,
+                             const std::optional<double>& rate_limit,
+                             std::string_view source) {
+  if (m_start_rate.rate() == rate_limit)
+    return;
+  LogLine line(LogLevel::kInfo, rate_limit ? "target.rate_limited"
+                                           : "target.rate_limit_withdrawn");
+  line.Add("instance", m_instance)
+      .Add("process", ToHex(m_process.value()))
+      .Add("source", source);
+  if (rate_limit)
+    line.Add("per_second", *rate_limit);
+  if (m_start_rate.rate())
+    line.Add("previous_per_second", *m_start_rate.rate());
+  m_start_rate.SetRate(now, rate_limit);
+  // Queued works may start, or may no longer start in time.
+  Apply(now, m_admission.OnTimer(now));
+}
+
+// The heartbeats of the target may continue to report that it is ready.
+void OwnerSide::OnLeavingAnnounced(TimePoint now, std::string_view source) {
+  if (m_is_target_leaving)
+    return;
+  m_is_target_leaving = true;
+  LogLine(LogLevel::kInfo, "target.leaving")
+      .Add("instance", m_instance)
+      .Add("process", ToHex(m_process.value()))
+      .Add("source", source);
+}
+
 void OwnerSide::OnAnnounced(TimePoint now, const TargetAnnounced& event) {
   const bool is_same =
       m_announced && m_announced->incarnation == event.incarnation;
+  if (!m_gate.current())
+    SetProcess(now, ProcessOf(m_stream_ip, event));
   m_announcements.OnAnnounced(now, is_same);
   m_life.OnAnnounced(
       now, TargetAnnouncement{event.service, event.slots, event.incarnation,
@@ -70,6 +183,7 @@
 bool OwnerSide::OnOwnProbe(TimePoint now, const ProbeAnswered& event) {
   if (!TargetHealthChecker::IsOwn(event.probe))
     return false;
+  ApplyProbedNotice(now, event);
   ApplyColdReport(now, event);
   if (event.load_sample)
     ApplyLoadSample(now, *event.load_sample);
@@ -81,6 +195,8 @@
       .Add("instance", event.instance)
       .Add("healthy", event.is_healthy);
   ApplyVerdict(now, m_gate.OnProbe(event.instance, event.is_healthy));
+  // The target may have become the current one by this probe.
+  ApplyProbedNotice(now, event);
   return true;
 }
 
@@ -153,6 +269,7 @@
     ReportCrashSuspects(now);
     m_instance = heartbeat.instance;
     m_process_started.reset();
+    SetProcess(now, ProcessOf(heartbeat));
     ++m_replacement_count;
     m_cold_starts.OnReplaced(now);
     LogLine(LogLevel::kInfo, "target.gate_opened")
--- a/source/core/pipeline/dispatcher.cc
+++ b/source/core/pipeline/dispatcher.cc
@@ -123,6 +123,7 @@
                                   Call& call,
                                   const LoadReport& load) {
   call.last_load = load;
+  m_parts.notices.OnReported(load);
   if (load.limit > 0)
     m_slowdown_threshold.OnReported(now, call.head.service,
                                     call.attempt->dispatch.node, load.slowdown);
@@ -367,6 +368,10 @@
   head.max_slowdown =
       call.attempt->is_selective ? AcceptableSlowdown(now, call) : 0.0;
   head.max_hold = MaxHold(now, call, owner);
+  if (owner.target) {
+    head.target_process = owner.target->process;
+    head.target_rate_limit = m_parts.notices.RateLimitOf(head.target_process);
+  }
   return head;
 }
 
--- a/source/core/pipeline/dispatcher.h
+++ b/source/core/pipeline/dispatcher.h
@@ -19,6 +19,7 @@
 #include "core/pipeline/slowdown_threshold.h"
 #include "core/routing/retry_budget.h"
 #include "core/routing/router.h"
+#include "core/routing/target_notices.h"
 
 namespace bulrushmount {
 
@@ -73,6 +74,7 @@
     Router& router;
     RetryBudget& retries;
     ClaimBook& claims;
+    TargetNotices& notices;
     const OwnerDirectory& owners;
     RandomSource& random;
     ActionSink& actions;
--- a/source/core/pipeline/refusals.h
+++ b/source/core/pipeline/refusals.h
@@ -15,6 +15,7 @@
     case Reason::kOverloaded:
     case Reason::kSlowTarget:
     case Reason::kDeadlineTooShort:
+    case Reason::kTargetRateLimit:
       return true;
     default:
       return false;
--- a/source/core/pipeline/retry_after_policy.h
+++ b/source/core/pipeline/retry_after_policy.h
@@ -28,6 +28,9 @@
     case Reason::kShed:
     case Reason::kThrottled:
       return milliseconds(250);
+    // A target names a rate for seconds, so an early retry is refused again.
+    case Reason::kTargetRateLimit:
+      return milliseconds(500);
     // A restarted target sends its first report within one or two seconds.
     case Reason::kNoTarget:
     case Reason::kConnectFailed:
--- a/source/core/transport/peers/node_stream_codec.cc
+++ b/source/core/transport/peers/node_stream_codec.cc
@@ -12,6 +12,8 @@
 
 #include <fmt/format.h>
 
+#include "core/common/decimal.h"
+
 namespace bulrushmount {
 
 namespace {
@@ -32,6 +34,8 @@
 constexpr std::string_view kObjectiveLeft = "bulrushmount-objective-left-us";
 constexpr std::string_view kMaxSlowdown = "bulrushmount-max-slowdown";
 constexpr std::string_view kMaxHold = "bulrushmount-max-hold-us";
+constexpr std::string_view kTargetProcess = "bulrushmount-target-process";
+constexpr std::string_view kTargetRateLimit = "bulrushmount-target-rate-limit";
 constexpr std::string_view kBody = "bulrushmount-body";
 constexpr std::string_view kControl = "bulrushmount-control";
 constexpr std::string_view kVerdict = "bulrushmount-verdict";
@@ -45,7 +49,7 @@
 constexpr std::string_view kFailed = "failed";
 
 // The most fields that EncodeRequest adds to the forwarded headers.
-constexpr std::size_t kReservedFieldCount = 20;
+constexpr std::size_t kReservedFieldCount = 22;
 
 // A year; longer durations are rejected, because they could overflow when added
 // to a time point in nanoseconds.
@@ -56,6 +60,9 @@
 
 constexpr double kHundred = 100.0;
 
+// In a load report, for a target without a rate limit.
+constexpr std::string_view kNoRateLimit = "-";
+
 constexpr int kMinStatus = 200;
 constexpr int kMaxStatus = 599;
 
@@ -120,12 +127,52 @@
   return Parse(text, shape.length);
 }
 
+std::string EncodeRateLimit(const std::optional<double>& rate_limit) {
+  return rate_limit ? fmt::format("{}", *rate_limit)
+                    : std::string(kNoRateLimit);
+}
+
 std::string EncodeLoad(const LoadReport& load) {
   const auto service_time =
       std::chrono::duration_cast<std::chrono::microseconds>(load.service_time);
-  return fmt::format("{} {} {} {} {}", load.in_flight, load.queued, load.limit,
-                     service_time.count(),
-                     std::lround(load.slowdown * kHundred));
+  std::string text =
+      fmt::format("{} {} {} {} {}", load.in_flight, load.queued, load.limit,
+                  service_time.count(), std::lround(load.slowdown * kHundred));
+  if (load.process != TargetProcess()) {
+    text += fmt::format(" {} {} {}", load.process,
+                        EncodeRateLimit(load.notice.rate_limit),
+                        load.notice.is_leaving ? 1 : 0);
+  }
+  return text;
+}
+
+// Removes and returns the text before the next space.
+std::string_view TakeWord(std::string_view& text) {
+  const std::size_t space = text.find(' ');
+  const std::string_view word = text.substr(0, space);
+  text.remove_prefix(space == std::string_view::npos ? text.size() : space + 1);
+  return word;
+}
+
+// Decodes the end of a load report, which owners without a known target omit.
+bool DecodeNotice(std::string_view text, LoadReport& load) {
+  if (text.empty()) {
+    return true;
+  }
+  std::uint64_t process = 0;
+  if (!Parse(TakeWord(text), process)) {
+    return false;
+  }
+  load.process = TargetProcess(process);
+  const std::string_view rate_limit = TakeWord(text);
+  if (rate_limit != kNoRateLimit) {
+    load.notice.rate_limit = ParseNonNegative(rate_limit);
+    if (!load.notice.rate_limit) {
+      return false;
+    }
+  }
+  load.notice.is_leaving = TakeWord(text) == "1";
+  return true;
 }
 
 bool DecodeLoad(std::string_view text, LoadReport& load) {
@@ -151,11 +198,11 @@
   }
   text.remove_prefix(space + 1);
   std::uint32_t hundredths = 0;
-  if (!Parse(text.substr(0, text.find(' ')), hundredths)) {
+  if (!Parse(TakeWord(text), hundredths)) {
     return false;
   }
   load.slowdown = hundredths / kHundred;
-  return true;
+  return DecodeNotice(text, load);
 }
 
 std::string_view EncodeVerdict(OwnerVerdict verdict) {
@@ -234,6 +281,13 @@
   } else if (name == kMaxSlowdown) {
     return Parse(field.value, work.max_slowdown) && work.max_slowdown >= 0 &&
            work.max_slowdown <= kMaxFactor;
+  } else if (name == kTargetRateLimit) {
+    work.target_rate_limit = ParseNonNegative(field.value);
+    return work.target_rate_limit.has_value();
+  } else if (name == kTargetProcess) {
+    const bool is_read = Parse(field.value, number);
+    work.target_process = TargetProcess(number);
+    return is_read;
   } else if (name == kEntry) {
     const bool is_read = Parse(field.value, number);
     work.entry = NodeId(number);
@@ -330,6 +384,10 @@
         std::chrono::duration_cast<std::chrono::microseconds>(work.max_hold);
     Add(fields, kMaxHold, std::to_string(max_hold.count()));
   }
+  if (work.target_rate_limit) {
+    Add(fields, kTargetProcess, std::to_string(work.target_process.value()));
+    Add(fields, kTargetRateLimit, EncodeRateLimit(work.target_rate_limit));
+  }
   Add(fields, kBody, EncodeShape(request.shape));
   if (!request.control.empty()) {
     Add(fields, kControl, request.control);
--- a/source/core/transport/targets/owner_works.cc
+++ b/source/core/transport/targets/owner_works.cc
@@ -121,9 +121,9 @@
     const int status = head.status;
     m_answer = std::move(head);
     m_answer_body = std::move(body);
-    m_owner.m_events.Emit(TargetAnswerBegun{m_id, status, verdict.is_shed,
-                                            verdict.is_wrong_target,
-                                            verdict.load_sample});
+    m_owner.m_events.Emit(TargetAnswerBegun{
+        m_id, status, verdict.is_shed, verdict.is_wrong_target,
+        verdict.load_sample, verdict.notice, verdict.is_rate_limit_stated});
   }
 
   void OnFailed() override {
--- a/source/core/transport/targets/prober.cc
+++ b/source/core/transport/targets/prober.cc
@@ -98,7 +98,7 @@
       m_prober.KeepIdle(m_endpoint, std::move(m_stream));
     m_prober.m_events.Emit(ProbeAnswered{
         m_id, verdict.is_healthy, Now() - m_started, verdict.instance,
-        verdict.load_sample, verdict.cold_time_left});
+        verdict.load_sample, verdict.cold_time_left, verdict.notice});
   }
 
   Prober& m_prober;
--- a/source/core/transport/targets/target_dialect.cc
+++ b/source/core/transport/targets/target_dialect.cc
@@ -6,15 +6,31 @@
 #include <chrono>
 #include <cstdint>
 
+#include "core/common/decimal.h"
+
 namespace bulrushmount {
 
 namespace {
 
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
+constexpr std::string_view kRateLimitField = "Bulrushmount-Rate-Limit";
+constexpr std::string_view kLeavingField = "Bulrushmount-Leaving";
 
 }  // namespace
 
+void ReadNotice(const boost::beast::http::fields& fields,
+                std::string_view rate_limit_field,
+                std::string_view leaving_field,
+                TargetVerdict& verdict) {
+  verdict.notice.is_leaving = fields[leaving_field] == "1";
+  const auto named = fields.find(rate_limit_field);
+  if (named == fields.end())
+    return;
+  verdict.notice.rate_limit = ParseNonNegative(named->value());
+  verdict.is_rate_limit_stated = verdict.notice.rate_limit.has_value();
+}
+
 void NativeTargetDialect::AddRequestFields(const WorkHead& work,
                                            const InstanceId&,
                                            Duration time_left,
@@ -35,6 +51,7 @@
   TargetVerdict verdict;
   verdict.is_shed =
       status == kUnavailable && fields["Bulrushmount-Shed"] == "1";
+  ReadNotice(fields, kRateLimitField, kLeavingField, verdict);
   return verdict;
 }
 
--- a/source/core/transport/targets/target_dialect.h
+++ b/source/core/transport/targets/target_dialect.h
@@ -6,6 +6,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include <boost/beast/http/fields.hpp>
 
@@ -29,6 +30,9 @@
   std::optional<TargetLoadSample> load_sample;
   // How long the target keeps an idle connection open.
   std::optional<Duration> keep_alive;
+  TargetNotice notice;
+  // False if the answer does not state whether the target limits its rate.
+  bool is_rate_limit_stated = true;
 };
 
 // The information in a health endpoint's answer.
@@ -40,8 +44,17 @@
   // How long the target remains in its cold start; empty if its answers do not
   // report it.
   std::optional<Duration> cold_time_left;
+  // A missing rate limit does not withdraw one.
+  TargetNotice notice;
 };
 
+// Reads the target's notice from the fields with these names. A rate limit that
+// cannot be parsed counts as not stated.
+void ReadNotice(const boost::beast::http::fields& fields,
+                std::string_view rate_limit_field,
+                std::string_view leaving_field,
+                TargetVerdict& verdict);
+
 class TargetDialect {
  public:
   virtual ~TargetDialect() = default;
--- a/source/soak/fault_schedule.cc
+++ b/source/soak/fault_schedule.cc
@@ -32,6 +32,17 @@
 constexpr Duration kMaxFreezeDuration = milliseconds(2500);
 constexpr double kStoreForAllFraction = 0.4;
 
+// Notices of servers have a random source of their own.
+constexpr std::uint64_t kNoticeSeedMask = 0x6e6f74696365;
+constexpr Duration kMeanNoticeGapPerNode = std::chrono::seconds(20);
+constexpr double kLeaveByAnswersFraction = 0.25;
+constexpr double kLimitAllFraction = 0.2;
+// Longer than the time from which a limit is guaranteed.
+constexpr Duration kMinLimitDuration = milliseconds(8000);
+constexpr Duration kMaxLimitDuration = milliseconds(14000);
+constexpr double kMinRate = 0.5;
+constexpr double kMaxRate = 10;
+
 // One event in four is a change of routes by the operator, since a fleet
 // changes more often than it fails.
 constexpr double kMoveRoutesFraction = 0.25;
@@ -78,6 +89,35 @@
   return fault;
 }
 
+void AddNotices(std::uint64_t seed,
+                Duration length,
+                std::size_t nodes,
+                std::vector<Fault>& faults) {
+  SeededRandomSource random(seed ^ kNoticeSeedMask);
+  const double mean_gap =
+      ToSeconds(kMeanNoticeGapPerNode) / static_cast<double>(nodes);
+  Duration at{};
+  for (;;) {
+    at += FromSeconds(-mean_gap * std::log(1 - random.Fraction()));
+    if (at >= length)
+      return;
+    Fault fault;
+    fault.at = at;
+    fault.node = random.Index(nodes);
+    const bool is_leaving = random.Fraction() < kLeaveByAnswersFraction;
+    fault.kind =
+        is_leaving ? FaultKind::kLeaveByAnswers : FaultKind::kLimitServer;
+    fault.affects_all_nodes =
+        !is_leaving && random.Fraction() < kLimitAllFraction;
+    fault.rate = kMinRate + (kMaxRate - kMinRate) * random.Fraction();
+    fault.duration =
+        is_leaving
+            ? RandomDuration(random, kMinFaultDuration, kMaxFaultDuration)
+            : RandomDuration(random, kMinLimitDuration, kMaxLimitDuration);
+    faults.push_back(fault);
+  }
+}
+
 const char* ToText(platform::Link link) {
   switch (link) {
     case platform::Link::kStore:
@@ -94,7 +134,8 @@
 
 std::vector<Fault> GenerateSchedule(std::uint64_t seed,
                                     Duration length,
-                                    std::size_t nodes) {
+                                    std::size_t nodes,
+                                    bool has_notices) {
   SeededRandomSource random(seed);
   const double mean_gap =
       ToSeconds(kMeanGapPerNode) / static_cast<double>(nodes);
@@ -118,6 +159,8 @@
         fault.node = random.Index(nodes);
     }
   }
+  if (has_notices)
+    AddNotices(seed, length, nodes, faults);
   std::stable_sort(
       faults.begin(), faults.end(),
       [](const Fault& one, const Fault& other) { return one.at < other.at; });
@@ -160,6 +203,10 @@
       return "stall-link-down";
     case FaultKind::kSlowLink:
       return "slow-link";
+    case FaultKind::kLimitServer:
+      return "limit-server";
+    case FaultKind::kLeaveByAnswers:
+      return "leave-by-answers";
     case FaultKind::kMoveRoutes:
       return "move-routes";
   }
@@ -167,10 +214,10 @@
 }
 
 std::string ToText(const Fault& fault) {
-  return fmt::format("at={:.3f} kind={} node={} link={} for={:.3f} all={}",
-                     ToSeconds(fault.at), ToText(fault.kind), fault.node,
-                     ToText(fault.link), ToSeconds(fault.duration),
-                     fault.affects_all_nodes);
+  return fmt::format(
+      "at={:.3f} kind={} node={} link={} for={:.3f} all={} rate={:.2f}",
+      ToSeconds(fault.at), ToText(fault.kind), fault.node, ToText(fault.link),
+      ToSeconds(fault.duration), fault.affects_all_nodes, fault.rate);
 }
 
 }  // namespace bulrushmount::soak
--- a/source/soak/fault_schedule.h
+++ b/source/soak/fault_schedule.h
@@ -40,6 +40,10 @@
   kStallLink,
   kStallLinkDown,
   kSlowLink,
+  // Statements of a server in its answers: it names a request rate, changes it
+  // and withdraws it; or it is leaving, while its heartbeats do not tell.
+  kLimitServer,
+  kLeaveByAnswers,
   // Not a fault: the operator writes a new version of the routes.
   kMoveRoutes,
 };
@@ -53,16 +57,22 @@
   std::size_t node = 0;
   // Used only for faults of links.
   platform::Link link = platform::Link::kStore;
-  // Used only for faults of the table service: whether all nodes are affected.
+  // Requests per second; used only for kLimitServer.
+  double rate = 0;
+  // Used only for faults of the table service and for kLimitServer: whether all
+  // nodes are affected.
   bool affects_all_nodes = false;
 
   friend bool operator==(const Fault&, const Fault&) = default;
 };
 
 // Returns single faults and series of faults, sorted by time. They may overlap.
+// Without `has_notices`, servers state nothing in their answers; the other
+// faults of a seed are the same.
 std::vector<Fault> GenerateSchedule(std::uint64_t seed,
                                     Duration length,
-                                    std::size_t nodes);
+                                    std::size_t nodes,
+                                    bool has_notices = true);
 
 std::string ToText(FaultKind kind);
 std::string ToText(const Fault& fault);
--- a/source/soak/ledger_checks.cc
+++ b/source/soak/ledger_checks.cc
@@ -8,6 +8,8 @@
 
 #include <fmt/format.h>
 
+#include "soak/notice_checks.h"
+
 namespace bulrushmount::soak {
 
 namespace {
@@ -131,6 +133,7 @@
   }
   CheckDrains(record, violations);
   CheckVersions(record, violations);
+  CheckNotices(record, violations);
   return violations;
 }
 
--- a/source/soak/ledger_checks.h
+++ b/source/soak/ledger_checks.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,15 @@
   TimePoint at;
 };
 
+// What a server stated in its answers from `at` on.
+struct StatedNotice {
+  std::string instance;
+  TimePoint at;
+  // Requests per second; empty without a limit.
+  std::optional<double> rate_limit;
+  bool is_leaving = false;
+};
+
 // Everything that is recorded in a run.
 struct SoakRecord {
   std::vector<platform::FinishedCall> calls;
@@ -38,6 +48,11 @@
   std::vector<AcknowledgedDrain> drains;
   // The start times of the processes of each node, by node index.
   std::map<std::size_t, std::vector<TimePoint>> node_starts;
+  // In order of time.
+  std::vector<StatedNotice> notices;
+  // Restarts, freezes and cuts of nodes and their ends, by node index. They
+  // excuse a node from the notices that it has relayed before.
+  std::map<std::size_t, std::vector<TimePoint>> disturbances;
 };
 
 // Returns one line for each violated guarantee, with the request and, for a
--- a/source/soak/ledger_checks_test.cc
+++ b/source/soak/ledger_checks_test.cc
@@ -63,6 +63,34 @@
   return record;
 }
 
+constexpr double kRate = 1;
+// Requests that the guarantee allows in 4 s at this rate.
+constexpr std::size_t kAllowed = 11;
+
+// A server names a rate, or is leaving, at kStart. From then on, node 0 sends
+// one request and `later` further ones after `pause`, 10 ms apart.
+SoakRecord AfterNotice(bool is_leaving, std::size_t later, Duration pause) {
+  SoakRecord record;
+  StatedNotice notice{"i-1", kStart, std::nullopt, is_leaving};
+  if (!is_leaving)
+    notice.rate_limit = kRate;
+  record.notices.push_back(notice);
+  for (std::size_t number = 0; number <= later; ++number) {
+    Duration began{};
+    if (number > 0)
+      began = pause + std::chrono::milliseconds(10 * number);
+    const std::string id = "r" + std::to_string(number);
+    record.calls.push_back(CallOf(id, "/safe/", ClientVerdict::kServed, began));
+    record.runs.push_back({id, "i-1", "booking", "/", kStart + began});
+  }
+  return record;
+}
+
+SoakRecord Disturbed(SoakRecord record) {
+  record.disturbances[0] = {kStart + std::chrono::seconds(1)};
+  return record;
+}
+
 INSTANTIATE_TEST_SUITE_P(
     Records,
     LedgerCheckTest,
@@ -98,6 +126,27 @@
         LedgerCheckCase{"RunAfterDrain", LateRun(2 * kDrainTime), 1},
         LedgerCheckCase{"RoutesBack",
                         Versions({kStart - std::chrono::hours(1)}), 1},
+        LedgerCheckCase{"WithinTheRate",
+                        AfterNotice(false, kAllowed, std::chrono::seconds(5)),
+                        0},
+        LedgerCheckCase{
+            "AboveTheRate",
+            AfterNotice(false, kAllowed + 1, std::chrono::seconds(5)), 1},
+        LedgerCheckCase{
+            "AboveTheRateEarly",
+            AfterNotice(false, kAllowed + 1, std::chrono::seconds(1)), 0},
+        LedgerCheckCase{"AboveTheRateAfterARestart",
+                        Disturbed(AfterNotice(false,
+                                              kAllowed + 1,
+                                              std::chrono::seconds(5))),
+                        0},
+        LedgerCheckCase{"SentToALeavingServer",
+                        AfterNotice(true, 2, std::chrono::seconds(3)), 2},
+        LedgerCheckCase{"SentWhileItMayServe",
+                        AfterNotice(true, 2, std::chrono::seconds(1)), 0},
+        LedgerCheckCase{
+            "SentToALeavingServerAfterARestart",
+            Disturbed(AfterNotice(true, 2, std::chrono::seconds(3))), 0},
         LedgerCheckCase{"NewProcess",
                         Versions({kStart + std::chrono::milliseconds(500)}),
                         0}),
--- a/source/soak/main.cc
+++ b/source/soak/main.cc
@@ -58,8 +58,9 @@
   return result.violations.empty();
 }
 
-// Runs each line of the form "SEED SECONDS NODES | cause"; lines that begin
-// with # are comments.
+// Runs each line of the form "SEED SECONDS NODES [notices] | cause"; lines that
+// begin with # are comments. Without the word, servers state nothing in their
+// answers.
 int RunSeedFile(const std::string& file, SoakOptions options) {
   std::ifstream lines(file);
   std::string line;
@@ -75,6 +76,8 @@
       return 2;
     }
     options.length = std::chrono::seconds(seconds);
+    std::string word;
+    options.has_notices = words >> word && word == "notices";
     has_passed = RunSeed(options) && has_passed;
   }
   return has_passed ? 0 : 1;
@@ -87,6 +90,7 @@
   options.length = FromSeconds(60 * parsed["minutes"].as<double>());
   options.nodes = parsed["nodes"].as<std::size_t>();
   options.is_without_faults = parsed["calm"].as<bool>();
+  options.has_notices = !parsed["without-notices"].as<bool>();
   options.calls_per_node = parsed["calls"].as<std::size_t>();
   options.program = parsed["program"].as<std::string>();
   options.settings_template = BULRUSHMOUNT_NODE_TEMPLATE;
@@ -95,8 +99,8 @@
   if (parsed.count("regressions") > 0)
     return RunSeedFile(parsed["regressions"].as<std::string>(), options);
   if (parsed["print-schedule"].as<bool>()) {
-    for (const Fault& fault :
-         GenerateSchedule(options.seed, options.length, options.nodes))
+    for (const Fault& fault : GenerateSchedule(
+             options.seed, options.length, options.nodes, options.has_notices))
       std::cout << ToText(fault) << "\n";
     return 0;
   }
@@ -119,6 +123,7 @@
       "calls", "Calls in flight at each node",
       cxxopts::value<std::size_t>()->default_value("3"))(
       "calm", "Send traffic without faults")(
+      "without-notices", "Servers name no request rates in their answers")(
       "print-schedule", "Print the fault schedule without running it")(
       "program", "Path of the node program",
       cxxopts::value<std::string>()->default_value(BULRUSHMOUNT_NODE))(
--- a/source/soak/soak_run.cc
+++ b/source/soak/soak_run.cc
@@ -93,7 +93,8 @@
   const TimePoint began = Now();
   if (!m_options.is_without_faults) {
     for (const Fault& fault :
-         GenerateSchedule(m_options.seed, m_options.length, m_options.nodes)) {
+         GenerateSchedule(m_options.seed, m_options.length, m_options.nodes,
+                          m_options.has_notices)) {
       ScheduleAfter(fault.at, [this, fault] { InjectFault(fault); });
     }
   }
@@ -212,6 +213,10 @@
       return InjectLinkFault(fault, LinkState::kStalledFromServer);
     case FaultKind::kSlowLink:
       return InjectLinkFault(fault, LinkState::kSlow);
+    case FaultKind::kLimitServer:
+      return LimitServers(fault);
+    case FaultKind::kLeaveByAnswers:
+      return LeaveByAnswers(fault);
     case FaultKind::kMoveRoutes:
       return MoveRoutes();
   }
@@ -221,6 +226,7 @@
   m_nodes[index].is_down = false;
   m_nodes[index].is_leaving = false;
   m_record.node_starts[index].push_back(Now());
+  RecordDisturbance(index);
   m_fleet->StartNode(index);
 }
 
@@ -241,10 +247,12 @@
     return;
   state.is_frozen = true;
   state.was_frozen_while_leaving |= state.is_leaving;
+  RecordDisturbance(fault.node);
   m_fleet->node(fault.node).Freeze();
   ScheduleAfter(fault.duration, [this, index = fault.node] {
     m_nodes[index].is_frozen = false;
     m_fleet->node(index).Thaw();
+    RecordDisturbance(index);
   });
 }
 
@@ -368,10 +376,12 @@
       m_nodes[fault.node].is_server_leaving_or_down)
     return;
   ++m_nodes[fault.node].link_faults[fault.link];
+  RecordDisturbance(fault.node);
   m_fleet->SetLink(fault.node, fault.link, state);
   ScheduleAfter(fault.duration, [this, index = fault.node, link = fault.link] {
     if (--m_nodes[index].link_faults[link] == 0)
       m_fleet->SetLink(index, link, LinkState::kOpen);
+    RecordDisturbance(index);
   });
 }
 
--- a/source/soak/soak_run.h
+++ b/source/soak/soak_run.h
@@ -28,6 +28,8 @@
   std::size_t nodes = 5;
   // Sends traffic but injects no faults, to measure a fleet without faults.
   bool is_without_faults = false;
+  // Servers state request rates and leave in their answers.
+  bool has_notices = true;
   // The number of calls in flight at each node at any moment.
   std::size_t calls_per_node = 3;
   std::string program;
@@ -84,6 +86,15 @@
   void HangServer(const Fault& fault);
   void DrainServer(const Fault& fault);
   void AwaitDrain(std::size_t index, TimePoint began, Duration pause);
+  void LimitServers(const Fault& fault);
+  void LimitServer(std::size_t index, const Fault& fault);
+  void LeaveByAnswers(const Fault& fault);
+  // The process with this id states this in its answers from now on.
+  void StateNotice(std::size_t index, const StatedNotice& notice);
+  // The node is not bound by the notices that it has relayed so far.
+  void RecordDisturbance(std::size_t node) {
+    m_record.disturbances[node].push_back(Now());
+  }
   void InjectStoreFault(const Fault& fault);
   void InjectLinkFault(const Fault& fault, LinkState state);
   void MoveRoutes();
--- a/source/stand_ins/target_service.cc
+++ b/source/stand_ins/target_service.cc
@@ -86,6 +86,8 @@
   ReadBool(object, "lie_health", control.is_health_forced_ok);
   ReadBool(object, "lie_load", control.is_load_forced_zero);
   ReadBool(object, "drain", control.is_draining);
+  ReadDouble(object, "rate_limit", control.rate_limit);
+  ReadBool(object, "leave_in_answers", control.is_leaving_in_answers);
   return true;
 }
 
@@ -179,7 +181,9 @@
 
 void TargetService::Shed(const WorkPointer& work) {
   Record("shed", *work, true);
-  work->exchange->Respond({503, {{"Bulrushmount-Shed", "1"}}, "shed\n"});
+  ServerResponse response{503, {{"Bulrushmount-Shed", "1"}}, "shed\n"};
+  AddNotice(response);
+  work->exchange->Respond(std::move(response));
 }
 
 void TargetService::StartWaiting() {
@@ -302,10 +306,22 @@
 ServerResponse TargetService::DigestResponse(const Work& work,
                                              unsigned status) const {
   const std::string digest = DigestText(work.digest);
-  return {status,
-          {{"X-Digest", digest},
-           {"X-Incarnation", fmt::format("{}", m_options.incarnation)}},
-          fmt::format("digest {}\n", digest)};
+  ServerResponse response{
+      status,
+      {{"X-Digest", digest},
+       {"X-Incarnation", fmt::format("{}", m_options.incarnation)}},
+      fmt::format("digest {}\n", digest)};
+  AddNotice(response);
+  return response;
+}
+
+void TargetService::AddNotice(ServerResponse& response) const {
+  if (m_control.rate_limit >= 0) {
+    response.headers.push_back(
+        {"Bulrushmount-Rate-Limit", fmt::format("{}", m_control.rate_limit)});
+  }
+  if (m_control.is_leaving_in_answers)
+    response.headers.push_back({"Bulrushmount-Leaving", "1"});
 }
 
 void TargetService::Record(std::string_view event,
--- a/source/stand_ins/target_service.h
+++ b/source/stand_ins/target_service.h
@@ -51,6 +51,11 @@
   double shed_fraction = 0.0;
   // The target is withdrawn from its node but continues to serve requests.
   bool is_draining = false;
+  // Named in all answers, in requests per second; none if negative.
+  double rate_limit = -1;
+  // All answers announce that the target is leaving, while it continues to
+  // announce itself to its node.
+  bool is_leaving_in_answers = false;
 };
 
 // Serves the requests of one target.
@@ -97,6 +102,8 @@
                      std::uint64_t pieces_left,
                      Duration pause);
   void Finish(const WorkPointer& work, bool is_written);
+  // Adds what the target states in all its answers.
+  void AddNotice(ServerResponse& response) const;
   // Builds the answer that contains the request digest.
   ServerResponse DigestResponse(const Work& work, unsigned status) const;
 
--- a/source/unit_tests/core/node_logic/fleet.cc
+++ b/source/unit_tests/core/node_logic/fleet.cc
@@ -101,6 +101,10 @@
   });
 }
 
+TargetKey Fleet::TargetKeyOf(std::size_t index) const {
+  return {index, m_nodes[index]->target.incarnation};
+}
+
 std::string Fleet::InstanceOf(std::size_t index) const {
   return fmt::format("i-{}-{}", index, m_nodes[index]->target.incarnation);
 }
@@ -148,6 +152,7 @@
   FakeTarget& target = m_nodes[index]->target;
   target.is_up = true;
   ++target.incarnation;
+  target.notice = TargetNotice();
   target.heartbeats = 0;
   target.cold_starts.clear();
   if (!m_options.cold)
@@ -227,6 +232,7 @@
 void Fleet::Freeze(std::size_t index, std::size_t actions) {
   Node& node = *m_nodes[index];
   node.was_frozen = true;
+  m_notices.OnEntryExcused(index);
   if (actions == 0)
     node.is_frozen = true;
   else
@@ -239,6 +245,7 @@
   if (!node.is_frozen)
     return;
   node.is_frozen = false;
+  m_notices.OnEntryExcused(index);
   CarryOut(index);
   std::deque<NodeEvent> waiting = std::exchange(node.waiting, {});
   for (NodeEvent& event : waiting)
@@ -263,6 +270,7 @@
   Node& node = *m_nodes[index];
   const std::uint64_t life = node.life;
   node.has_exited = true;
+  m_notices.OnEntryExcused(index);
   for (CallerView& call : m_calls) {
     if (call.entry == index && !call.outcome)
       call.is_connection_closed = true;
@@ -349,6 +357,11 @@
   m_nodes[index]->target.is_failing = is_failing;
 }
 
+void Fleet::SetNotice(std::size_t index, const TargetNotice& notice) {
+  m_nodes[index]->target.notice = notice;
+  m_notices.OnStated(now(), TargetKeyOf(index), notice);
+}
+
 void Fleet::FailRequest(std::size_t node) {
   Deliver(node, TargetAnswerBegun{WorkId(++m_last_id), kServerError, false});
 }
--- a/source/unit_tests/core/node_logic/fleet.h
+++ b/source/unit_tests/core/node_logic/fleet.h
@@ -21,6 +21,7 @@
 #include "core/node_logic/node_settings.h"
 #include "core/routes/route_document.h"
 #include "unit_tests/core/common/virtual_time.h"
+#include "unit_tests/core/node_logic/notice_ledger.h"
 #include "unit_tests/core/store/fake_table_service.h"
 
 namespace bulrushmount::testing {
@@ -137,6 +138,10 @@
   void SetServiceTime(std::size_t node, Duration service_time);
   // The target answers every request with a fast error.
   void SetFailing(std::size_t node, bool is_failing);
+  // From now on, the target states this in all its answers, while it continues
+  // to announce itself.
+  void SetNotice(std::size_t node, const TargetNotice& notice);
+  const NoticeLedger& notices() const { return m_notices; }
   // The target of the node answers a request that is not part of `calls()` with
   // an error.
   void FailRequest(std::size_t node);
@@ -180,6 +185,7 @@
   void Announce(std::size_t index);
   void SendHeartbeat(std::size_t index);
   void StartTarget(std::size_t index);
+  TargetKey TargetKeyOf(std::size_t index) const;
   std::string InstanceOf(std::size_t index) const;
   Duration ColdTimeLeft(std::size_t index) const;
   // Whether the request that has just arrived exceeds the rate of a cold
@@ -241,6 +247,7 @@
   std::size_t m_max_rate_at_cold_target = 0;
   std::size_t m_dispatches = 0;
   std::vector<TimePoint> m_probes;
+  NoticeLedger m_notices;
   std::optional<AnswerOperator> m_operator_answer;
   std::uint64_t m_last_id = 0;
 };
--- a/source/unit_tests/core/node_logic/fleet_actions.cc
+++ b/source/unit_tests/core/node_logic/fleet_actions.cc
@@ -148,6 +148,8 @@
       key != m_key_of_request.end())
     ++m_runs_of_key[key->second];
   target.last_run_at = now();
+  const CallerView& caller = m_calls.at(stream->call.value() - 1);
+  m_notices.OnRun(now(), stream->entry, TargetKeyOf(node), caller.sent_at);
   target.runs[work] = TargetRun();
   if (stream->head.method == kPoisonMethod || ExceedsColdRate(node)) {
     m_time.After(kNetworkDelay, [this, node] { CrashTarget(node); });
@@ -181,9 +183,14 @@
   FakeTarget& target = m_nodes[node]->target;
   if (target.life != life || target.runs.erase(work) == 0)
     return;
-  if (Stream* stream = FindStream(node, work))
+  if (Stream* stream = FindStream(node, work)) {
     stream->status = status;
-  Deliver(node, TargetAnswerBegun{work, status, false});
+    stream->target = TargetKeyOf(node);
+    stream->notice = target.notice;
+  }
+  TargetAnswerBegun begun{work, status, false};
+  begun.notice = target.notice;
+  Deliver(node, begun);
   Deliver(node, TargetAnswerEnded{work});
 }
 
@@ -213,9 +220,14 @@
                                  KeptAnswer{"text/plain", "done"}};
   const std::size_t entry = stream->entry;
   const std::uint64_t life = stream->entry_life;
-  m_time.After(kNetworkDelay, [this, entry, life, begun, ended] {
+  const TargetKey target = stream->target;
+  const TargetNotice notice = stream->notice;
+  m_time.After(kNetworkDelay, [this, entry, life, begun, ended, target,
+                               notice] {
     if (m_nodes[entry]->life != life)
       return;
+    if (m_nodes[entry]->IsRunning())
+      m_notices.OnRelayed(now(), entry, target, notice);
     m_calls.at(begun.call.value() - 1).status = begun.status;
     Deliver(entry, begun);
     Deliver(entry, ended);
--- a/source/unit_tests/core/node_logic/fleet_parts.h
+++ b/source/unit_tests/core/node_logic/fleet_parts.h
@@ -30,6 +30,7 @@
   std::uint64_t life = 1;
   Duration service_time = std::chrono::milliseconds(10);
   bool is_failing = false;
+  TargetNotice notice;
   TimePoint cold_until;
   // Start times of requests within the last second, since the target turned
   // cold.
@@ -82,6 +83,8 @@
   WorkHead head;
   LoadReport load;
   int status = 0;
+  TargetKey target;
+  TargetNotice notice;
   bool is_closed = false;
 };
 
--- a/source/unit_tests/core/pipeline/dispatcher_test.cc
+++ b/source/unit_tests/core/pipeline/dispatcher_test.cc
@@ -93,7 +93,7 @@
         m_dispatcher(
             MakeSettings(),
             Dispatcher::Parts{m_pipeline, m_router, m_retries, m_claims,
-                              m_owners, m_random, m_actions}) {
+                              m_notices, m_owners, m_random, m_actions}) {
     for (std::uint64_t node = 1; node <= kOwners; ++node) {
       const ZoneDistance distance = NodeId(node) == kNear
                                         ? ZoneDistance::kSameZone
@@ -145,6 +145,7 @@
   RecordedActions m_actions;
   Owners m_owners;
   Router m_router;
+  TargetNotices m_notices;
   FleetRetryBudget m_retries;
   ClaimBook m_claims;
   CallPipeline m_pipeline;
--- a/source/unit_tests/core/transport/node_stream_test.cc
+++ b/source/unit_tests/core/transport/node_stream_test.cc
@@ -301,6 +301,50 @@
   RC_ASSERT(back->headers == request.headers);
 }
 
+struct LoadCase {
+  const char* name;
+  LoadReport load;
+};
+
+// Guards against entries that do not learn what targets state, because a node
+// stream loses it.
+TEST(NodeStreamCodec, LoadReportsKeepTheTargetsNotice) {
+  LoadReport load;
+  load.in_flight = 3;
+  load.limit = 9;
+  load.slowdown = 1.25;
+  LoadReport limited = load;
+  limited.process = TargetProcess(0xfedcba9876543210);
+  limited.notice.rate_limit = 1.7;
+  LoadReport leaving = load;
+  leaving.process = TargetProcess(1);
+  leaving.notice.is_leaving = true;
+  LoadReport unlimited = load;
+  unlimited.process = TargetProcess(7);
+  for (const LoadCase& one :
+       {LoadCase{"UnknownProcess", load}, LoadCase{"Limited", limited},
+        LoadCase{"Leaving", leaving}, LoadCase{"Unlimited", unlimited}}) {
+    const OwnerReply reply{
+        OwnerVerdict::kRefused, Reason::kOverloaded, one.load, {}};
+    const auto back = DecodeReply(EncodeReply(reply));
+    ASSERT_TRUE(back) << one.name;
+    EXPECT_EQ(back->load, one.load) << one.name;
+  }
+}
+
+// Guards against owners that do not learn a limit after a restart.
+TEST(NodeStreamCodec, RequestsCarryAKnownRateLimit) {
+  WorkRequest request = MakeRequest();
+  EXPECT_EQ(DecodeRequest(EncodeRequest(request))->work.target_rate_limit,
+            std::nullopt);
+  request.work.target_process = TargetProcess(0xfedcba9876543210);
+  request.work.target_rate_limit = 0.1;
+  const auto back = DecodeRequest(EncodeRequest(request));
+  ASSERT_TRUE(back);
+  EXPECT_EQ(back->work.target_process, request.work.target_process);
+  EXPECT_EQ(back->work.target_rate_limit, request.work.target_rate_limit);
+}
+
 struct Undecodable {
   const char* name;
   const char* field;
@@ -316,6 +360,8 @@
         Undecodable{"Interim", ":status", "100"},
         Undecodable{"Verdict", "bulrushmount-verdict", "maybe"},
         Undecodable{"Load", "bulrushmount-load", "1 2"},
+        Undecodable{"Process", "bulrushmount-load", "1 2 3 4 100 x - 0"},
+        Undecodable{"RateLimit", "bulrushmount-load", "1 2 3 4 100 5 -1 0"},
         Undecodable{"Body", "bulrushmount-body", "-1"}}) {
     HeaderList fields = EncodeReply(reply);
     for (HeaderField& field : fields) {
