Send nothing to targets that leave by their answers alone

What callers would see: requests sent to a target that has announced in its answers that it is leaving, while its heartbeats still report it ready, are lost when it exits.

Cause: only heartbeats and departures closed a target's gate.

Change: an answer or a probe with the announcement closes the gate for that process for good. Entries remember the processes that were reported as leaving and remove them from their routing, whatever later owner processes report: an owner that restarts finds the heartbeats still ready. Drains by heartbeat are reported to entries in the same way.

--- a/source/core/node_logic/node.h
+++ b/source/core/node_logic/node.h
@@ -109,6 +109,7 @@
   void ApplyRouteDocument(TimePoint now);
   void ApplyEvacuationContract(TimePoint now, const Contract* contract);
   void ApplyEvacuations(TimePoint now);
+  void ApplyTargetNotices(TimePoint now);
   void UpdateRouter(TimePoint now, const Member& member, bool is_forgotten);
   Duration MaxServingTime() const;
   TimePoint LastAnswerDeadline(TimePoint leaving_since) const;
--- a/source/core/node_logic/node_updates.cc
+++ b/source/core/node_logic/node_updates.cc
@@ -41,6 +41,7 @@
   PublishTarget(now);
   UpdateMeasuringBudget(now);
   ApplyEvacuations(now);
+  ApplyTargetNotices(now);
   ApplyMemberChanges(now);
   ApplyNewestRevision(now);
   m_config_sync.SetWatchDuty(now, m_watch_duty.IsOnDuty(now));
@@ -97,7 +98,8 @@
   // this node is the isolated one, a refusal is correct as well.
   const bool takes_calls =
       !is_forgotten && member.state == MemberState::kAlive && member.target &&
-      member.target->is_serving && !m_evacuations.IsEvacuated(member.zone);
+      member.target->is_serving && !m_evacuations.IsEvacuated(member.zone) &&
+      !m_notices.IsLeaving(member.target->process);
   if (takes_calls)
     m_router.Update(member.target->service, MakeCandidate(now, member));
   else
@@ -120,6 +122,25 @@
     UpdateRouter(now, *member, /*is_forgotten=*/false);
 }
 
+// Members report that a target is leaving only after its owner knows it, and
+// not at all if the owner has restarted since.
+void Node::ApplyTargetNotices(TimePoint now) {
+  const std::vector<TargetProcess> leaving = m_notices.TakeNewlyLeaving();
+  if (leaving.empty())
+    return;
+  for (const Member* member : m_membership.table().Live()) {
+    const bool is_leaving =
+        member->target && std::find(leaving.begin(), leaving.end(),
+                                    member->target->process) != leaving.end();
+    if (!is_leaving)
+      continue;
+    LogLine(LogLevel::kInfo, "target.excluded")
+        .Add("member", ToHex(member->id))
+        .Add("process", ToHex(member->target->process.value()));
+    UpdateRouter(now, *member, /*is_forgotten=*/false);
+  }
+}
+
 Candidate Node::MakeCandidate(TimePoint now, const Member& member) const {
   Candidate candidate;
   candidate.node = member.id;
--- a/source/core/node_logic/owner_target.cc
+++ b/source/core/node_logic/owner_target.cc
@@ -115,6 +115,10 @@
       .Add("instance", m_instance)
       .Add("process", ToHex(m_process.value()))
       .Add("source", source);
+  if (m_gate.current())
+    ApplyVerdict(now, m_gate.OnDeparted(m_instance, m_process_started));
+  else
+    OnWithdrawn(now);
 }
 
 void OwnerSide::OnAnnounced(TimePoint now, const TargetAnnounced& event) {
@@ -194,6 +198,10 @@
   LogLine(LogLevel::kInfo, "target.probed")
       .Add("instance", event.instance)
       .Add("healthy", event.is_healthy);
+  // Otherwise its next heartbeat, which may still report that it is ready,
+  // would open the gate.
+  if (event.notice.is_leaving && !event.instance.value().empty())
+    ApplyVerdict(now, m_gate.OnDeparted(event.instance));
   ApplyVerdict(now, m_gate.OnProbe(event.instance, event.is_healthy));
   // The target may have become the current one by this probe.
   ApplyProbedNotice(now, event);
@@ -253,6 +261,7 @@
     case GateAction::kClose:
       LogLine(LogLevel::kInfo, "target.gate_closed")
           .Add("instance", m_instance);
+      m_is_target_leaving = true;
       OnWithdrawn(now);
       return;
   }
--- a/source/process_tests/target_notices_test.cc
+++ b/source/process_tests/target_notices_test.cc
@@ -75,5 +75,28 @@
   calls.Stop();
 }
 
+// Guards against requests to a target that announces in its answers that it is
+// leaving and still announces itself, also once its node has restarted.
+TEST_F(TargetNoticesProcessTest, TargetLeavingByItsAnswersGetsNoRequests) {
+  StartFleet();
+  BackgroundCalls calls(kCallers, Reads());
+  ASSERT_TRUE(calls.WaitForMore(50));
+  State(R"({"leave_in_answers":true})");
+  ASSERT_TRUE(calls.WaitForMore(200));
+  const TimePoint begin = Now();
+  ASSERT_TRUE(calls.WaitForMore(300));
+  EXPECT_EQ(RunsSince(begin).size(), 0U);
+  at(kTarget).node->Kill();
+  StartNode(kTarget);
+  Play(3s);
+  // The restarted node is an entry, too, and its callers' first requests tell
+  // it. The other entries know it.
+  EXPECT_LE(RunsSince(begin).size(), kCallers);
+  const TimePoint settled_at = Now();
+  ASSERT_TRUE(calls.WaitForMore(300));
+  EXPECT_EQ(RunsSince(settled_at).size(), 0U);
+  calls.Stop();
+}
+
 }  // namespace
 }  // namespace bulrushmount
--- a/source/unit_tests/core/node_logic/target_notices_test.cc
+++ b/source/unit_tests/core/node_logic/target_notices_test.cc
@@ -197,6 +197,19 @@
   EXPECT_EQ(load.Violations(), "");
 }
 
+// Guards against requests to a target that has announced in its answers that it
+// is leaving, although it still announces itself to its owner.
+TEST_P(TargetNoticesUnderFaults, LeavingTargetGetsNoRequests) {
+  LoadedFleet load(kSeed);
+  load.fleet().SetNotice(0, Leaving());
+  load.Play(2s);
+  for (int repeat = 0; repeat < 3; ++repeat) {
+    GetParam().apply(load);
+    load.Play(3s);
+  }
+  EXPECT_EQ(load.Violations(), "");
+}
+
 // Guards against a limit that outlives its withdrawal or a change.
 TEST_P(TargetNoticesUnderFaults, ChangedAndWithdrawnLimitsAreFollowed) {
   LoadedFleet load(kSeed);
