Test that a leaving target gets nothing from other entries, and lint

The mutation of an owner that goes on after its target's notice was seen by no test, since entries keep to it by themselves; the new test sees it. The linter objected to two equal cases of the Retry-After policy.

--- a/source/core/pipeline/retry_after_policy.h
+++ b/source/core/pipeline/retry_after_policy.h
@@ -28,10 +28,9 @@
     case Reason::kShed:
     case Reason::kThrottled:
       return milliseconds(250);
-    // A target names a rate for seconds, so an early retry is refused again.
+    // A restarted target sends its first report within one or two seconds. A
+    // target names a rate limit for seconds.
     case Reason::kTargetRateLimit:
-      return milliseconds(500);
-    // A restarted target sends its first report within one or two seconds.
     case Reason::kNoTarget:
     case Reason::kConnectFailed:
     case Reason::kWrongTarget:
--- a/source/unit_tests/core/node_logic/fleet_actions.cc
+++ b/source/unit_tests/core/node_logic/fleet_actions.cc
@@ -222,16 +222,16 @@
   const std::uint64_t life = stream->entry_life;
   const TargetKey target = stream->target;
   const TargetNotice notice = stream->notice;
-  m_time.After(kNetworkDelay, [this, entry, life, begun, ended, target,
-                               notice] {
-    if (m_nodes[entry]->life != life)
-      return;
-    if (m_nodes[entry]->IsRunning())
-      m_notices.OnRelayed(now(), entry, target, notice);
-    m_calls.at(begun.call.value() - 1).status = begun.status;
-    Deliver(entry, begun);
-    Deliver(entry, ended);
-  });
+  m_time.After(kNetworkDelay,
+               [this, entry, life, begun, ended, target, notice] {
+                 if (m_nodes[entry]->life != life)
+                   return;
+                 if (m_nodes[entry]->IsRunning())
+                   m_notices.OnRelayed(now(), entry, target, notice);
+                 m_calls.at(begun.call.value() - 1).status = begun.status;
+                 Deliver(entry, begun);
+                 Deliver(entry, ended);
+               });
 }
 
 void Fleet::Do(std::size_t node, const FailWork& action) {
--- a/source/unit_tests/core/node_logic/target_notices_test.cc
+++ b/source/unit_tests/core/node_logic/target_notices_test.cc
@@ -258,6 +258,27 @@
   EXPECT_GT(refused, 0U);
 }
 
+// Guards against a leaving target that gets requests from each entry until it
+// has relayed an answer itself.
+TEST(TargetNoticesTest, LeavingTargetGetsNothingFromOtherEntriesEither) {
+  LoadedFleet load(kSeed);
+  load.fleet().SetNotice(0, Leaving());
+  const TimePoint stated_at = load.fleet().now();
+  // Entry 2 is in the zone of target 0.
+  const bool is_run = load.fleet().RunUntil(
+      [&] {
+        load.fleet().Send(2,
+                          load.fleet().MakeHead(kWorkspace, "GET", "/scripts"));
+        return load.RunsSince(0, stated_at) > 0;
+      },
+      5s);
+  ASSERT_TRUE(is_run);
+  load.fleet().Run(100ms);
+  const TimePoint known_at = load.fleet().now();
+  load.Play(3s);
+  EXPECT_EQ(load.RunsSince(0, known_at), 0U);
+}
+
 // Guards against a limit of 0 that is never seen to be withdrawn, because
 // without requests there are no answers.
 TEST(TargetNoticesTest, LimitOfZeroCanBeWithdrawn) {
