--- a/source/soak/main.cc
+++ b/source/soak/main.cc
@@ -59,7 +59,7 @@
 }
 
 // Runs each line of the form "SEED SECONDS NODES [notices] | cause"; lines that
-// begin with # are comments. Without the word, servers state nothing in their
+// begin with # are comments. Without "notices", servers state nothing in their
 // answers.
 int RunSeedFile(const std::string& file, SoakOptions options) {
   std::ifstream lines(file);
--- a/source/soak/soak_notices.cc
+++ b/source/soak/soak_notices.cc
@@ -1,7 +1,5 @@
 // Part of `soak_run.h`: what servers state in their answers.
 
-#include <algorithm>
-
 #include "soak/soak_run.h"
 
 namespace bulrushmount::soak {
@@ -10,7 +8,7 @@
 
 namespace {
 
-// A named rate changes to this multiple of itself halfway, or to a fraction.
+// Factor by which a named rate is raised or lowered halfway.
 constexpr double kRateChange = 2;
 
 }  // namespace
--- a/source/unit_tests/core/admission/start_rate_limiter_test.cc
+++ b/source/unit_tests/core/admission/start_rate_limiter_test.cc
@@ -101,7 +101,8 @@
   EXPECT_TRUE(m_limiter.MayStart(m_now));
 }
 
-// Guards against a queue that is told to wait shorter or longer than it does.
+// Guards against an expected wait that is shorter or longer than the actual
+// one.
 RC_GTEST_PROP(StartRateLimiterProperty, ExpectedWaitIsTheWait, ()) {
   StartRateLimiter limiter;
   TimePoint now{std::chrono::hours(1)};
