Send the body of a request only to the owner that reads it

Cause: an entry tries several owners for a start, and each of them received the whole body, also those that refused the request on its head.

The owner's session now has an initial window of 0 for request bodies and opens the window of a stream at its first read, which follows the hand-over to the target. An accepted request pays one round trip between the nodes. Windows are opened once the settings are acknowledged: the acknowledgement shrinks open windows, and a body of 1 MB on a new session got stuck without that (RelayTest.RequestBodyIsRelayed).

--- a/source/core/transport/peers/http2_session.cc
+++ b/source/core/transport/peers/http2_session.cc
@@ -26,6 +26,12 @@
 constexpr std::int32_t kConnectionWindow = 1 << 30;
 constexpr std::int32_t kStreamWindow = 65535;
 
+// Initial window of request bodies. Many requests are refused by the first
+// owners that are tried. Their bodies are sent only to the owner that accepts
+// the request, which opens the window at its first read; this costs the
+// accepted request one round trip.
+constexpr std::int32_t kRequestBodyWindow = 0;
+
 // nghttp2's default limit of 64 KB applies to the worst-case encoded size,
 // which would reject a head of many short fields that the peer accepts.
 constexpr std::size_t kMaxSentHeadBytes = 524'288;
@@ -104,9 +110,12 @@
   }
   nghttp2_session_callbacks_del(callbacks);
   nghttp2_option_del(option);
+  const std::int32_t window =
+      side == Side::kClient ? kStreamWindow : kRequestBodyWindow;
   std::vector<nghttp2_settings_entry> settings = {
       {NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, kMaxStreams},
-      {NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, kStreamWindow}};
+      {NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE,
+       static_cast<std::uint32_t>(window)}};
   nghttp2_submit_settings(m_session, NGHTTP2_FLAG_NONE, settings.data(),
                           settings.size());
   nghttp2_session_set_local_window_size(m_session, NGHTTP2_FLAG_NONE, 0,
@@ -169,6 +178,20 @@
   }
 }
 
+void Http2Session::OpenWindow(std::int32_t stream_id) {
+  // The acknowledgement of the settings shrinks the windows of open streams, so
+  // a window that was opened before it would be closed again.
+  if (!m_are_settings_acknowledged) {
+    m_windows_to_open.push_back(stream_id);
+    return;
+  }
+  if (!m_is_closed && m_session) {
+    nghttp2_session_set_local_window_size(m_session, NGHTTP2_FLAG_NONE,
+                                          stream_id, kStreamWindow);
+    ScheduleSend();
+  }
+}
+
 void Http2Session::Resume(std::int32_t stream_id) {
   if (!m_is_closed && m_session) {
     nghttp2_session_resume_data(m_session, stream_id);
@@ -352,6 +375,13 @@
   return is_taken ? 0 : NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
 }
 
+void Http2Session::OnSettingsAcknowledged() {
+  m_are_settings_acknowledged = true;
+  for (const std::int32_t stream_id : std::exchange(m_windows_to_open, {})) {
+    OpenWindow(stream_id);
+  }
+}
+
 int Http2Session::OnFrame(nghttp2_session*,
                           const nghttp2_frame* frame,
                           void* user_data) {
@@ -360,6 +390,11 @@
     self->OnGoaway();
     return 0;
   }
+  if (frame->hd.type == NGHTTP2_SETTINGS &&
+      (frame->hd.flags & NGHTTP2_FLAG_ACK) != 0) {
+    self->OnSettingsAcknowledged();
+    return 0;
+  }
   const bool is_head = frame->hd.type == NGHTTP2_HEADERS;
   if (!is_head && frame->hd.type != NGHTTP2_DATA) {
     return 0;
--- a/source/core/transport/peers/http2_session.h
+++ b/source/core/transport/peers/http2_session.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include <nghttp2/nghttp2.h>
 #include <boost/asio/any_io_executor.hpp>
@@ -43,6 +44,8 @@
   // --- For the streams; no effect before the connection is established ----
 
   void Consume(std::int32_t stream_id, std::size_t size);
+  // Lets the peer send the body of a stream that it opened.
+  void OpenWindow(std::int32_t stream_id);
   void Resume(std::int32_t stream_id);
   void Reset(std::int32_t stream_id, std::uint32_t error_code);
 
@@ -91,6 +94,7 @@
                            void*);
 
   std::shared_ptr<Http2Stream> Find(std::int32_t stream_id);
+  void OnSettingsAcknowledged();
   void Receive();
   void OnReceived(std::size_t size);
   void Send();
@@ -104,6 +108,9 @@
   // Null until the connection is established.
   nghttp2_session* m_session = nullptr;
   std::unordered_map<std::int32_t, std::shared_ptr<Http2Stream>> m_streams;
+  bool m_are_settings_acknowledged = false;
+  // Streams whose windows are opened once the settings are acknowledged.
+  std::vector<std::int32_t> m_windows_to_open;
   std::array<std::uint8_t, 65536> m_received;
   std::string m_sending;
   bool m_is_sending = false;
--- a/source/core/transport/peers/http2_stream.cc
+++ b/source/core/transport/peers/http2_stream.cc
@@ -16,7 +16,11 @@
   m_read = std::move(callback);
   const std::size_t done = std::exchange(m_unconsumed, 0);
   const std::shared_ptr<Http2Session> session = m_session.lock();
-  if (done > 0 && session && !m_is_closed) {
+  const bool is_usable = session && !m_is_closed;
+  if (is_usable && !std::exchange(m_is_window_open, true)) {
+    session->OpenWindow(m_id);
+  }
+  if (done > 0 && is_usable) {
     session->Consume(m_id, done);
   }
   Deliver();
--- a/source/core/transport/peers/http2_stream.h
+++ b/source/core/transport/peers/http2_stream.h
@@ -29,8 +29,18 @@
                     public BodySink,
                     public std::enable_shared_from_this<Http2Stream> {
  public:
-  explicit Http2Stream(std::weak_ptr<Http2Session> session)
-      : m_session(std::move(session)) {}
+  // When the peer may send the body.
+  enum class InputStart : std::uint8_t {
+    // At once, up to the session's initial window.
+    kImmediate,
+    // At the first read, which opens the window.
+    kFirstRead,
+  };
+
+  explicit Http2Stream(std::weak_ptr<Http2Session> session,
+                       InputStart input_start = InputStart::kImmediate)
+      : m_session(std::move(session)),
+        m_is_window_open(input_start == InputStart::kImmediate) {}
 
   // A chunk is at most as large as the flow-control window. The next read
   // acknowledges the chunk and reopens the window.
@@ -104,6 +114,8 @@
   bool m_is_closed = false;
 
   // --- From the peer ---
+  // False until the first read of a stream with InputStart::kFirstRead.
+  bool m_is_window_open = true;
   std::string m_input;
   // Bytes passed to the reader but not yet returned to the window.
   std::size_t m_unconsumed = 0;
--- a/source/core/transport/peers/node_stream_server.cc
+++ b/source/core/transport/peers/node_stream_server.cc
@@ -135,7 +135,8 @@
     }
     const auto self =
         std::static_pointer_cast<NodeServerSession>(shared_from_this());
-    auto stream = std::make_shared<Http2Stream>(self);
+    auto stream = std::make_shared<Http2Stream>(
+        self, Http2Stream::InputStart::kFirstRead);
     m_works.push_back(std::make_shared<ServerWork>(stream, self, m_acceptor));
     return stream;
   }
--- a/source/unit_tests/core/transport/node_stream_test.cc
+++ b/source/unit_tests/core/transport/node_stream_test.cc
@@ -178,6 +178,35 @@
   EXPECT_EQ(acceptor.works[0]->request().work.target, "/b");
 }
 
+// Guards against bodies that cross between availability zones once for each
+// owner that refuses the request: a body is sent when the owner reads it.
+TEST_F(NodeStreamTest, BodyIsSentOnlyToTheOwnerThatReadsIt) {
+  const std::string body(4000, 'b');
+  WorkRequest request = MakeRequest();
+  request.work.method = "POST";
+  request.shape = {.framing = BodyFraming::kLength, .length = body.size()};
+  // The settings of the server have arrived once a first request is refused.
+  RecordingListener first;
+  const auto refused = Open(first, request);
+  ASSERT_TRUE(RunUntilWorks(1));
+  acceptor.works[0]->Refuse(Reason::kSlowTarget, {});
+  ASSERT_TRUE(
+      RunUntil(context, [&] { return first.refused != Reason::kNone; }));
+
+  RecordingListener second;
+  const auto accepted = Open(second, request);
+  bool is_written = false;
+  accepted->request_body()->Write(body, [&](bool) { is_written = true; });
+  ASSERT_TRUE(RunUntilWorks(2));
+  EXPECT_FALSE(is_written);
+  std::string received;
+  acceptor.works[1]->request_body()->Read(
+      [&](BodyRead read) { received = std::move(read.data); });
+  ASSERT_TRUE(RunUntil(context, [&] { return is_written; }));
+  ASSERT_TRUE(RunUntil(context, [&] { return !received.empty(); }));
+  EXPECT_EQ(received, body);
+}
+
 TEST_F(NodeStreamTest, DrainingOwnerRefusesNewStreamsAndEndsTheOthers) {
   RecordingListener before;
   const auto first = Open(before, MakeRequest());
