Keep calls in their availability zone while they have time to spare

Cause: the pick weighed another zone as 20 ms plus 2 ms a kilobyte, so a call left its zone as soon as a target there looked slightly slower, and of the offers of slow starts the fastest one was taken wherever it was. 44 % of the started requests and half of the refused attempts crossed zones.

--- a/source/core/node_logic/entry_side.cc
+++ b/source/core/node_logic/entry_side.cc
@@ -25,6 +25,7 @@
   dispatcher.self = settings.id;
   dispatcher.zone = settings.zone;
   dispatcher.zone_kilobyte = settings.zone_kilobyte;
+  dispatcher.zone_spare_time_part = settings.zone_spare_time_part;
   dispatcher.max_attempts = settings.max_attempts;
   dispatcher.refusals_cost_no_retry = settings.refusals_cost_no_retry;
   const PolicySwitches& policies = settings.policies;
--- a/source/core/node_logic/node_settings.h
+++ b/source/core/node_logic/node_settings.h
@@ -55,6 +55,9 @@
   // additional delay for the caller that it is worth avoiding; 0 where transfer
   // is free.
   Duration zone_kilobyte{};
+  // Part of the spare time of a call's latency objective that it may spend to
+  // stay in its availability zone; 0: only the two costs above count.
+  double zone_spare_time_part = 0;
   Duration region_round_trip = std::chrono::milliseconds(30);
 
   // Duration of a target's cold start, over which its share of the picks rises.
--- a/source/core/pipeline/call.h
+++ b/source/core/pipeline/call.h
@@ -72,6 +72,8 @@
   std::vector<NodeId> tried;
   // Owners in `tried` that refused only because their target was too slow.
   OfferList offers;
+  // Owners of this node's zone that refused for lack of capacity.
+  std::uint32_t refusals_in_zone = 0;
   // Number of attempts with `is_selective` set.
   std::uint32_t selective_attempts = 0;
   Reason last_refusal = Reason::kNone;
--- a/source/core/pipeline/dispatcher.cc
+++ b/source/core/pipeline/dispatcher.cc
@@ -11,6 +11,7 @@
 #include "core/admission/start_estimate.h"
 #include "core/common/logging.h"
 #include "core/pipeline/refusals.h"
+#include "core/pipeline/zone_preference.h"
 
 namespace bulrushmount {
 
@@ -64,10 +65,14 @@
   const bool reached_target = ReachedTarget(event.reason);
   if (reached_target)
     ++call->hand_overs;
-  if (IsCapacityRefusal(event.reason))
+  const NodeId owner = call->attempt->dispatch.node;
+  const bool is_in_zone = IsInOwnZone(owner);
+  if (IsCapacityRefusal(event.reason)) {
     m_ask_budget.OnRefused(now, call->head.service);
+    call->refusals_in_zone += is_in_zone ? 1 : 0;
+  }
   if (event.reason == Reason::kSlowTarget)
-    call->offers.Add(call->attempt->dispatch.node, event.load.slowdown);
+    call->offers.Add({owner, event.load.slowdown, is_in_zone});
   // Another owner would also refuse a suspect or quarantined request. Once the
   // ask budget is spent, a refusal for lack of capacity ends the call as well;
   // a refusal by a draining owner does not.
@@ -240,7 +245,7 @@
       return best;
   }
   const PickRequest request{call.terms.kind.weight, call.deadline - now,
-                            call.tried, CrossZoneDelay(call)};
+                            call.tried, ZoneAdvantage(now, call)};
   const std::optional<NodeId> picked =
       m_parts.router.Pick(now, call.head.service, request, m_parts.random);
   if (!picked)
@@ -262,7 +267,8 @@
 }
 
 std::optional<NodeId> Dispatcher::TakeOffer(TimePoint now, Call& call) {
-  const std::optional<Offer> offer = call.offers.TakeBest();
+  const std::optional<Offer> offer =
+      call.offers.TakeBest(OfferAdvantage(now, call));
   if (!offer)
     return std::nullopt;
   m_slowdown_threshold.OnTaken(now, call.head.service, offer->slowdown);
@@ -313,6 +319,32 @@
   return FromSeconds(kilobytes * ToSeconds(m_settings.zone_kilobyte));
 }
 
+Duration Dispatcher::ZoneAdvantage(TimePoint now, const Call& call) const {
+  if (!m_settings.has_objectives)
+    return CrossZoneDelay(call);
+  const ZonePreferenceInput input{ObjectiveLeft(now, call),
+                                  m_profiles.FirstByte(call.terms.kind.name),
+                                  call.refusals_in_zone};
+  return std::max(CrossZoneDelay(call),
+                  ZonePreference(input, m_settings.zone_spare_time_part));
+}
+
+// An offer in this zone may be slower by the part of the usual time that the
+// call may spend to stay in the zone.
+double Dispatcher::OfferAdvantage(TimePoint now, const Call& call) const {
+  const Duration usual_time = m_profiles.FirstByte(call.terms.kind.name);
+  if (!m_settings.has_objectives || usual_time <= Duration::zero())
+    return 0.0;
+  const ZonePreferenceInput input{ObjectiveLeft(now, call), usual_time, 0};
+  return ToSeconds(ZonePreference(input, m_settings.zone_spare_time_part)) /
+         ToSeconds(usual_time);
+}
+
+bool Dispatcher::IsInOwnZone(NodeId owner) const {
+  const Member* member = m_parts.owners.FindOwner(owner);
+  return member && member->zone == m_settings.zone;
+}
+
 // Load pattern: the target in this zone is slow for some hundred milliseconds.
 // Transferring a large answer from another zone costs more than waiting until
 // that is over, so the owner may hold the request as long as an attempt
--- a/source/core/pipeline/dispatcher.h
+++ b/source/core/pipeline/dispatcher.h
@@ -45,6 +45,7 @@
   AvailabilityZone zone;
   // See NodeSettings.
   Duration zone_kilobyte{};
+  double zone_spare_time_part = 0;
   std::uint32_t max_attempts = 4;
   // See NodeSettings.
   bool refusals_cost_no_retry = false;
@@ -128,6 +129,12 @@
   double AcceptableSlowdown(TimePoint now, const Call& call) const;
   // Cost of transferring the answer between zones, expressed as a delay.
   Duration CrossZoneDelay(const Call& call) const;
+  // How much later the call may start to stay in its zone; at least
+  // CrossZoneDelay.
+  Duration ZoneAdvantage(TimePoint now, const Call& call) const;
+  // The same for the choice between offers, as a difference of slowdowns.
+  double OfferAdvantage(TimePoint now, const Call& call) const;
+  bool IsInOwnZone(NodeId owner) const;
   Duration MaxHold(TimePoint now, const Call& call, const Member& owner) const;
   // Whether an attempt with an unknown outcome may be followed by another.
   bool MayRetryUnknownOutcome(const Call& call, Reason reason) const;
--- a/source/core/pipeline/offer_list.h
+++ b/source/core/pipeline/offer_list.h
@@ -18,23 +18,26 @@
 struct Offer {
   NodeId node;
   double slowdown = 1.0;
+  // The owner is in the availability zone of this node.
+  bool is_in_zone = false;
 };
 
 class OfferList {
  public:
-  void Add(NodeId node, double slowdown) {
-    m_offers.push_back({node, slowdown});
-  }
+  void Add(const Offer& offer) { m_offers.push_back(offer); }
 
   bool empty() const { return m_offers.empty(); }
 
-  // Removes and returns the offer with the smallest slowdown; empty if there is
-  // none.
-  std::optional<Offer> TakeBest() {
+  // Removes and returns the offer with the smallest slowdown, where one of the
+  // own zone may be slower by `zone_advantage`; empty if there is none.
+  std::optional<Offer> TakeBest(double zone_advantage) {
+    const auto cost = [zone_advantage](const Offer& offer) {
+      return offer.slowdown - (offer.is_in_zone ? zone_advantage : 0.0);
+    };
     const auto best =
         std::min_element(m_offers.begin(), m_offers.end(),
-                         [](const Offer& left, const Offer& right) {
-                           return left.slowdown < right.slowdown;
+                         [&cost](const Offer& left, const Offer& right) {
+                           return cost(left) < cost(right);
                          });
     if (best == m_offers.end())
       return std::nullopt;
--- a/source/core/settings/daemon_settings.cc
+++ b/source/core/settings/daemon_settings.cc
@@ -196,6 +196,8 @@
   Assign(ReadDuration(map.Optional("zone_kilobyte"), {Duration(0), seconds(1)},
                       faults),
          settings.zone_kilobyte);
+  Assign(ReadNumber(map.Optional("zone_spare_time_part"), {0, 1}, faults),
+         settings.zone_spare_time_part);
   Assign(ReadDuration(map.Optional("region_round_trip"),
                       {Duration(0), seconds(10)}, faults),
          settings.region_round_trip);
--- a/source/unit_tests/core/pipeline/dispatcher_test.cc
+++ b/source/unit_tests/core/pipeline/dispatcher_test.cc
@@ -82,7 +82,7 @@
 
 class DispatcherTest : public testing::Test, private CallSink {
  protected:
-  DispatcherTest()
+  explicit DispatcherTest(const DispatcherSettings& settings = MakeSettings())
       : m_router([] {
           return std::make_unique<PowerOfChoicesPicker>(
               PowerOfChoicesSettings{});
@@ -91,7 +91,7 @@
         m_claims(ClaimSettings(), m_table, m_random, WallAnchor{}),
         m_pipeline(*this),
         m_dispatcher(
-            MakeSettings(),
+            settings,
             Dispatcher::Parts{m_pipeline, m_router, m_retries, m_claims,
                               m_notices, m_owners, m_random, m_actions}) {
     for (std::uint64_t node = 1; node <= kOwners; ++node) {
@@ -327,5 +327,58 @@
                     HoldCase{"Large", 500'000, 150ms, 200ms}),
     [](const auto& info) { return std::string(info.param.name); });
 
+// Calls may spend half of their spare time to stay in their zone. Usual answers
+// take 75 ms of an objective of 300 ms.
+class OwnZoneTest : public DispatcherTest {
+ protected:
+  OwnZoneTest() : DispatcherTest(MakeZoneSettings()) {
+    for (int answer = 0; answer < 40; ++answer) {
+      Start(true);
+      Answer(75ms, 1'500);
+    }
+  }
+
+  static DispatcherSettings MakeZoneSettings() {
+    DispatcherSettings settings = MakeSettings();
+    settings.zone_spare_time_part = 0.5;
+    return settings;
+  }
+
+  void RefuseAsSlow(CallId call, double slowdown) {
+    m_dispatcher.OnRefused(m_now, {call,
+                                   LastAttempt().attempt,
+                                   Reason::kSlowTarget,
+                                   {.limit = 12, .slowdown = slowdown}});
+  }
+};
+
+// Guards against calls that leave their zone as soon as a target elsewhere
+// looks slightly faster.
+TEST_F(OwnZoneTest, CallStaysInItsZoneWhileItHasSpareTime) {
+  ASSERT_EQ(LastAttempt().owner, kNear);
+  const CallId refused = Start(true);
+  RefuseAsSlow(refused, 2.0);
+  EXPECT_NE(LastAttempt().owner, kNear);
+  Start(true);
+  EXPECT_EQ(LastAttempt().owner, kNear);
+}
+
+// Guards against the same once every owner has offered only a slow start.
+TEST_F(OwnZoneTest, SlightlySlowerOfferOfTheOwnZoneIsTaken) {
+  const CallId call = Start(true);
+  for (std::uint64_t owner = 1; owner <= kOwners; ++owner)
+    RefuseAsSlow(call, LastAttempt().owner == kNear ? 2.5 : 2.0);
+  EXPECT_EQ(LastAttempt().owner, kNear);
+}
+
+// Guards against calls that miss their objective because they wait for their
+// zone.
+TEST_F(OwnZoneTest, MuchSlowerOfferOfTheOwnZoneIsNotTaken) {
+  const CallId call = Start(true);
+  for (std::uint64_t owner = 1; owner <= kOwners; ++owner)
+    RefuseAsSlow(call, LastAttempt().owner == kNear ? 5.0 : 2.0);
+  EXPECT_NE(LastAttempt().owner, kNear);
+}
+
 }  // namespace
 }  // namespace bulrushmount
