Query the revisions of members that become known after a commit

The writing node stopped its queries as soon as no member that it knew was behind. A member that became known later, through a record older than its revision, was not asked, and the writer learned its revision only with its next heartbeat. The queries now last their whole 10 s; they send nothing while no member is behind.

--- a/source/core/node_logic/node_updates.cc
+++ b/source/core/node_logic/node_updates.cc
@@ -190,11 +190,12 @@
 void Node::QueryMemberRevisions(TimePoint now) {
   if (now < m_next_revision_query)
     return;
-  const std::size_t behind =
-      m_membership.QueryRevision(now, m_committed_revision, kMembersPerQuery);
-  const bool is_done = behind == 0 || now >= m_revision_queries_end;
-  m_next_revision_query =
-      is_done ? TimePoint::max() : now + kRevisionQueryPeriod;
+  m_membership.QueryRevision(now, m_committed_revision, kMembersPerQuery);
+  // Continues although no known member is behind: members that become known
+  // later may be, and their records can be older than their revisions.
+  m_next_revision_query = now >= m_revision_queries_end
+                              ? TimePoint::max()
+                              : now + kRevisionQueryPeriod;
 }
 
 void Node::UpdateMembers(TimePoint now) {
