Measure the bytes between zones after a start of all nodes

The capacity benchmark counted datagrams by kind, but not those that leave their availability zone. The phase `start` runs another fleet in three zones of one region: 15 s after the start of all nodes at once, 30 s of idling, and 5 s after a change of a document of 15 KB.

--- a/source/benchmarks/capacity_benchmark.cc
+++ b/source/benchmarks/capacity_benchmark.cc
@@ -6,8 +6,11 @@
 //
 //   capacity_benchmark SEED MEMBERS SERVICES WORKSPACES CALLS_PER_S PHASE...
 //
-// Phases: idle, calls, load, zone, restart. They run in the order given.
-// CALLS_PER_S is the rate at each entry.
+// Phases: idle, calls, load, zone, restart, start. They run in the order given.
+// The phase `start` uses another fleet, in three zones of one region, and
+// prints the bytes between zones after the start of all its nodes at once,
+// while they are idle, and after a change of a document. CALLS_PER_S is the
+// rate at each entry.
 
 #include <malloc.h>
 
@@ -48,6 +51,9 @@
     "other", "gossip", "limits", "quarantine", "config"};
 
 constexpr Duration kIdleTime = seconds(30);
+constexpr Duration kStartTime = seconds(15);
+constexpr Duration kDocumentTime = seconds(5);
+constexpr std::size_t kDocumentBytes = 15'000;
 // Entries start with small loans from the limiter homes, so calls are refused
 // at first.
 constexpr Duration kLoadRampUp = seconds(10);
@@ -319,6 +325,43 @@
       network.MembersAt(0), (peak - heap) / network.size());
 }
 
+void PrintBetweenZones(const Options& options,
+                       const std::string& phase,
+                       const NodeNetwork& network) {
+  std::uint64_t total = 0;
+  for (std::size_t i = 0; i < kDatagramKinds; ++i) {
+    const DatagramCount& count = network.counts().between_zones[i];
+    total += count.bytes;
+    if (count.datagrams > 0)
+      fmt::print(
+          "{} datagram={} datagrams_between_zones={} "
+          "bytes_between_zones={}\n",
+          Prefix(options, phase), kDatagramNames[i], count.datagrams,
+          count.bytes);
+  }
+  fmt::print("{} bytes_between_zones={}\n", Prefix(options, phase), total);
+}
+
+void RunStart(const Options& options) {
+  NetworkSettings settings = options.network;
+  settings.zones = 3;
+  settings.regions = 1;
+  NodeNetwork network(settings);
+  network.StartAll();
+  network.Run(kStartTime);
+  PrintBetweenZones(options, "start", network);
+  fmt::print("{} members_at_0={} ready={}\n", Prefix(options, "start"),
+             network.MembersAt(0), network.CountReady());
+  network.ResetCounts();
+  network.Run(kIdleTime);
+  PrintBetweenZones(options, "start_idle", network);
+  network.ResetCounts();
+  const bool is_written = network.WriteDocument(kDocumentBytes);
+  network.Run(kDocumentTime);
+  PrintBetweenZones(options, "document", network);
+  fmt::print("{} written={}\n", Prefix(options, "document"), is_written);
+}
+
 void RunPhase(const Options& options,
               std::string_view phase,
               NodeNetwork& network,
@@ -333,6 +376,8 @@
     RunZoneLoss(options, network, heap);
   else if (phase == "restart")
     RunRestart(options, network, heap);
+  else if (phase == "start")
+    RunStart(options);
 }
 
 }  // namespace
@@ -343,7 +388,7 @@
   if (argc < 6) {
     std::fputs(
         "usage: capacity_benchmark SEED MEMBERS SERVICES WORKSPACES "
-        "CALLS_PER_S [idle|calls|load|zone|restart]...\n",
+        "CALLS_PER_S [idle|calls|load|zone|restart|start]...\n",
         stderr);
     return 2;
   }
--- a/source/benchmarks/node_network.cc
+++ b/source/benchmarks/node_network.cc
@@ -99,13 +99,15 @@
   node.wakeup = TimePoint();
   node.random = std::make_unique<SeededRandomSource>(m_random.NextBits());
   node.settings.id = NodeId(m_random.NextBits() | 1);
-  const std::string ip = fmt::format("10.{}.{}.{}", index % kZones + 1,
-                                     index / 250, index % 250 + 1);
+  const std::string ip =
+      fmt::format("10.{}.{}.{}", index % m_settings.zones + 1, index / 250,
+                  index % 250 + 1);
   node.settings.stream_endpoint = {ip, kStreamPort};
   node.settings.gossip_endpoint = {ip, kGossipPort};
-  const std::size_t zone = index % kZones;
+  const std::size_t zone = index % m_settings.zones;
   node.settings.zone = AvailabilityZone(fmt::format("zone-{}", zone));
-  node.settings.region = Region(fmt::format("region-{}", zone % kRegions));
+  node.settings.region =
+      Region(fmt::format("region-{}", zone % m_settings.regions));
   m_node_by_ip[ip] = index;
   m_node_by_id[node.settings.id.value()] = index;
   node.logic = std::make_unique<NodeLogic>(node.settings, *node.random, m_now);
@@ -157,23 +159,34 @@
 
 bool NodeNetwork::WriteContracts() {
   for (std::size_t i = 0; i < m_settings.workspaces; ++i) {
-    OperatorRequested request;
-    request.request = OperatorRequestId(++m_last_id);
-    request.verb = OperatorVerb::kWrite;
-    request.workspace = WorkspaceName(fmt::format("workspace-{}", i));
-    request.body = ContractOf(request.workspace.value(),
-                              ServiceOf(i, m_settings.services));
-    m_operator_answer.reset();
-    Deliver(0, request);
-    const TimePoint end = m_now + std::chrono::seconds(30);
-    while (!m_operator_answer && m_now < end)
-      Run(std::chrono::milliseconds(10));
-    if (!m_operator_answer || m_operator_answer->status >= 300)
+    const std::string workspace = fmt::format("workspace-{}", i);
+    if (!Write(workspace,
+               ContractOf(workspace, ServiceOf(i, m_settings.services))))
       return false;
   }
   return true;
 }
 
+bool NodeNetwork::WriteDocument(std::size_t bytes) {
+  const std::string workspace = "workspace-0";
+  return Write(workspace, ContractOf(workspace, ServiceOf(0, 1)) + "# " +
+                              std::string(bytes, 'x') + "\n");
+}
+
+bool NodeNetwork::Write(const std::string& workspace, std::string text) {
+  OperatorRequested request;
+  request.request = OperatorRequestId(++m_last_id);
+  request.verb = OperatorVerb::kWrite;
+  request.workspace = WorkspaceName(workspace);
+  request.body = std::move(text);
+  m_operator_answer.reset();
+  Deliver(0, request);
+  const TimePoint end = m_now + std::chrono::seconds(30);
+  while (!m_operator_answer && m_now < end)
+    Run(std::chrono::milliseconds(10));
+  return m_operator_answer && m_operator_answer->status < 300;
+}
+
 void NodeNetwork::Run(Duration span) {
   const TimePoint end = m_now + span;
   while (true) {
@@ -336,7 +349,7 @@
 
 void NodeNetwork::StopZone(std::size_t zone) {
   for (std::size_t i = 0; i < m_nodes.size(); ++i) {
-    if (i % kZones != zone)
+    if (i % m_settings.zones != zone)
       continue;
     m_nodes[i].is_stopped = true;
     m_wakeups.erase({m_nodes[i].wakeup, i});
--- a/source/benchmarks/node_network.h
+++ b/source/benchmarks/node_network.h
@@ -62,6 +62,8 @@
   EventCost next_wakeup;
   // By node.
   std::vector<NodeTraffic> traffic;
+  // Sent to another availability zone, by kind.
+  std::array<DatagramCount, kDatagramKinds> between_zones{};
   // By key prefix.
   std::map<std::string, TableCount> table;
   std::uint64_t max_reads_per_second = 0;
@@ -79,13 +81,13 @@
   std::size_t services = 1;
   std::size_t workspaces = 1;
   std::uint64_t seed = 1;
+  // Nodes are assigned to zones in turn, and zones to regions.
+  std::size_t zones = 8;
+  std::size_t regions = 3;
 };
 
 class NodeNetwork {
  public:
-  static constexpr std::size_t kRegions = 3;
-  static constexpr std::size_t kZones = 8;
-
   explicit NodeNetwork(const NetworkSettings& settings);
   ~NodeNetwork();
 
@@ -97,6 +99,8 @@
   // Writes one contract for each workspace through the first node. Returns
   // false if a write failed or got no answer within 30 s.
   bool WriteContracts();
+  // Writes a contract of about `bytes` for the first workspace.
+  bool WriteDocument(std::size_t bytes);
 
   void Run(Duration span);
   // Sets the rate of the Poisson process of calls at each entry; 0 stops it.
@@ -161,6 +165,7 @@
                   std::uint64_t incarnation,
                   bool is_warming) const;
   void StartNode(std::size_t index);
+  bool Write(const std::string& workspace, std::string text);
   void Schedule(Duration delay, ScheduledEvent scheduled);
   void Schedule(Duration delay, std::size_t node, NodeEvent event);
   void HandleScheduled(ScheduledEvent scheduled);
--- a/source/benchmarks/node_network_actions.cc
+++ b/source/benchmarks/node_network_actions.cc
@@ -112,6 +112,8 @@
   if (found == m_node_by_ip.end() || m_nodes[found->second].is_stopped)
     return;
   CountDatagram(m_counts.traffic[found->second].received, action.bytes);
+  if (m_nodes[node].settings.zone != m_nodes[found->second].settings.zone)
+    CountDatagram(m_counts.between_zones, action.bytes);
   Schedule(DelayBetween(node, found->second), found->second,
            DatagramArrived{m_nodes[node].settings.gossip_endpoint,
                            std::move(action.bytes)});
