--- a/source/core/node_logic/node.cc
+++ b/source/core/node_logic/node.cc
@@ -71,6 +71,8 @@
   ConfigSyncSettings config;
   config.fleet_polls_per_second = settings.fleet_config_polls_per_second;
   config.max_confirmation_age = settings.max_unconfirmed_document;
+  config.self = settings.id;
+  config.zone = settings.zone;
   return config;
 }
 
--- a/source/core/transport/peers/http2_session.cc
+++ b/source/core/transport/peers/http2_session.cc
@@ -115,7 +115,8 @@
   std::vector<nghttp2_settings_entry> settings = {
       {NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, kMaxStreams},
       {NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE,
-       static_cast<std::uint32_t>(window)}};
+       static_cast<std::uint32_t>(window)},
+      {kPackedHeadsSetting, 1}};
   nghttp2_submit_settings(m_session, NGHTTP2_FLAG_NONE, settings.data(),
                           settings.size());
   nghttp2_session_set_local_window_size(m_session, NGHTTP2_FLAG_NONE, 0,
@@ -162,6 +163,19 @@
   m_streams.insert_or_assign(id, std::move(stream));
 }
 
+HeaderList Http2Session::ShortestForm(HeadKind kind, HeaderList fields) const {
+  return m_reads_packed_heads ? PackHead(kind, std::move(fields)) : fields;
+}
+
+void Http2Session::OnSettings(const nghttp2_settings& settings) {
+  for (std::size_t index = 0; index < settings.niv; ++index) {
+    const nghttp2_settings_entry& entry = settings.iv[index];
+    if (entry.settings_id == kPackedHeadsSetting) {
+      m_reads_packed_heads = entry.value == 1;
+    }
+  }
+}
+
 std::shared_ptr<Http2Stream> Http2Session::OnPeerStream(std::int32_t) {
   return nullptr;
 }
@@ -390,9 +404,12 @@
     self->OnGoaway();
     return 0;
   }
-  if (frame->hd.type == NGHTTP2_SETTINGS &&
-      (frame->hd.flags & NGHTTP2_FLAG_ACK) != 0) {
-    self->OnSettingsAcknowledged();
+  if (frame->hd.type == NGHTTP2_SETTINGS) {
+    if ((frame->hd.flags & NGHTTP2_FLAG_ACK) != 0) {
+      self->OnSettingsAcknowledged();
+    } else {
+      self->OnSettings(frame->settings);
+    }
     return 0;
   }
   const bool is_head = frame->hd.type == NGHTTP2_HEADERS;
--- a/source/unit_tests/core/contracts/config_confirmation_test.cc
+++ b/source/unit_tests/core/contracts/config_confirmation_test.cc
@@ -78,6 +78,13 @@
   bool m_is_reading = false;
 };
 
+// Nodes are in three availability zones in turn.
+AvailabilityZone ZoneOf(std::size_t index) {
+  constexpr std::size_t kZones = 3;
+  return AvailabilityZone(
+      std::string(1, static_cast<char>('a' + index % kZones)));
+}
+
 // Nodes that exchange datagrams with a delay and with losses. The first few
 // watch the store.
 class ConfirmationFleet {
@@ -86,15 +93,18 @@
       : m_loss(loss) {
     ConfigSyncSettings settings;
     settings.max_confirmation_age = kMaxAge;
-    for (std::size_t index = 0; index < size; ++index)
+    for (std::size_t index = 0; index < size; ++index) {
+      settings.self = NodeId(index + 1);
+      settings.zone = ZoneOf(index);
       m_nodes.push_back(std::make_unique<Node>(*this, index, settings));
+    }
     for (std::size_t index = 0; index < size; ++index) {
       ConfigSync& sync = m_nodes[index]->sync;
       sync.SetMemberCount(m_store.now, size);
       for (std::size_t peer = 0; peer < size; ++peer) {
         if (peer != index)
-          sync.OnPeerRevision(m_store.now, NodeId(peer + 1), EndpointOf(peer),
-                              Revision(0));
+          sync.OnPeerRevision(m_store.now, NodeId(peer + 1), ZoneOf(peer),
+                              EndpointOf(peer), Revision(0));
       }
       sync.SetWatchDuty(m_store.now, index < watchers);
     }
