Send keys in the soak and check workspaces in the ledgers

The checks: a server received the workspace of the key and no key; nothing ran without a valid key; a permanent key is never refused as unknown; a process does not accept a key again after it has refused it; and a request answered with 401 has not run. The random streams of runs without keys are unchanged.

--- a/source/soak/ledger_checks.h
+++ b/source/soak/ledger_checks.h
@@ -41,6 +41,14 @@
   bool is_leaving = false;
 };
 
+// The keys of the soak's workspaces. Each workspace has one key in all versions
+// of the document, and one in kVersionsOfAKey versions from a given one on.
+inline constexpr std::uint64_t kVersionsOfAKey = 2;
+std::string PermanentKey(const std::string& workspace);
+std::string KeyFrom(const std::string& workspace, std::uint64_t version);
+// In no version of the document.
+inline constexpr char kNeverValidKey[] = "no-key-of-a-workspace";
+
 // Everything that is recorded in a run.
 struct SoakRecord {
   std::vector<platform::FinishedCall> calls;
@@ -53,6 +61,8 @@
   // Restarts, freezes and cuts of nodes and their ends, by node index. They
   // excuse a node from the notices that it has relayed before.
   std::map<std::size_t, std::vector<TimePoint>> disturbances;
+  // Requests need keys, and servers receive the workspaces of the keys.
+  bool has_workspaces = false;
 };
 
 // Returns one line for each violated guarantee, with the request and, for a
