Decide on arrival whether a request of a workspace is served

Cause: the owner refuses a waiting work whenever its expected wait exceeds two mean slot times under a lasting overload. The expected wait grows while the work is overtaken, so it is refused late, and its caller has lost the time. The bound also ignores the objective: statements that could wait for 1.5 s and be in time were refused on arrival.

Change, for requests of workspaces with an objective: under a lasting overload a last attempt may wait as long as an average answer would be in time. A work that has waited for an eighth of its objective is only refused once its deadline cannot be met; the queue's overflow takes other works first. The second rule also applies to nested calls. Requests without a workspace are decided as before.

Ruled out: the same for requests without a workspace.

--- a/source/core/admission/admission.cc
+++ b/source/core/admission/admission.cc
@@ -31,6 +31,18 @@
   return now + request.max_hold;
 }
 
+// Load pattern: for some seconds a third more arrives than can be served. Works
+// that wait are overtaken by others that are more likely in time, are late
+// after some hundred milliseconds and then refused, so their callers lose time
+// that another attempt needs. A refusal within this fraction of the objective
+// costs little.
+constexpr double kDecisionFraction = 1.0 / 8;
+
+TimePoint DecideBy(TimePoint now, Duration objective_left) {
+  return now + FromSeconds(kDecisionFraction *
+                           std::max(0.0, ToSeconds(objective_left)));
+}
+
 // Time that the request would have taken on an undisturbed target.
 Duration UndisturbedTime(Duration elapsed, double slowdown) {
   return FromSeconds(ToSeconds(elapsed) / slowdown);
@@ -98,17 +110,21 @@
     return {.start = {}, .refuse = {{work, m_closed_reason}}};
   UpdateHistories(now);
   m_histories[ClassOf(request)].last_arrival = now;
-  QueuedWork queued{.work = work,
-                    .workspace = request.workspace,
-                    .kind = request.kind,
-                    .weight = request.weight,
-                    .share = request.share,
-                    .deadline = now + request.time_left,
-                    .max_wait_ends = now + MaxWaitOf(request),
-                    .hold_ends = HoldEndOf(now, request),
-                    .objective = ObjectiveOf(now, request),
-                    .is_suspect = request.is_suspect,
-                    .is_nested = request.is_nested};
+  QueuedWork queued{
+      .work = work,
+      .workspace = request.workspace,
+      .kind = request.kind,
+      .weight = request.weight,
+      .share = request.share,
+      .deadline = now + request.time_left,
+      .max_wait_ends = now + MaxWaitOf(request),
+      .decide_by = DecidesOnArrival(request)
+                       ? std::optional(DecideBy(now, *request.objective_left))
+                       : std::nullopt,
+      .hold_ends = HoldEndOf(now, request),
+      .objective = ObjectiveOf(now, request),
+      .is_suspect = request.is_suspect,
+      .is_nested = request.is_nested};
   m_queue.Push(request.rank, std::move(queued),
                m_service_times.SlotTime(request.kind, request.weight));
   return Reschedule(now);
@@ -205,8 +221,30 @@
   const double fraction = m_service_times.has_samples()
                               ? m_settings.min_wait_of_time_left
                               : m_settings.min_wait_before_first_answer;
-  return std::max(expected,
-                  FromSeconds(fraction * ToSeconds(request.time_left)));
+  const Duration least = FromSeconds(fraction * ToSeconds(request.time_left));
+  // Nested calls are needed until their deadline, not until their objective.
+  if (DecidesOnArrival(request) && !request.is_nested &&
+      IsOverloaded(ClassOf(request)))
+    return std::max(least, InTimeWaitOf(request));
+  return std::max(expected, least);
+}
+
+// A suspect may have to wait for another one, whose end is not predictable.
+bool Admission::DecidesOnArrival(const AdmissionRequest& request) const {
+  return m_settings.decides_on_arrival && request.objective_left &&
+         !request.is_suspect &&
+         (request.is_nested || !request.workspace.value().empty());
+}
+
+Duration Admission::InTimeWaitOf(const AdmissionRequest& request) const {
+  const Duration takes =
+      m_service_times.FirstByte(request.kind, request.weight);
+  return *request.objective_left - m_settings.response_delay -
+         FromSeconds(BaselineSlowdown() * ToSeconds(takes));
+}
+
+bool Admission::IsDecided(TimePoint now, const QueuedWork& work) const {
+  return work.decide_by && *work.decide_by < now;
 }
 
 bool Admission::IsOverloaded(const WorkClass& work_class) const {
@@ -238,7 +276,7 @@
       [this, now](const QueuedWork& work) { return TimelinessOf(now, work); });
   RefuseUnservable(now, output);
   StartEligible(now, output);
-  RefuseOverflow(output);
+  RefuseOverflow(now, output);
   ScheduleWakeup(now);
   return output;
 }
@@ -293,11 +331,30 @@
     m_queue.Reset();
 }
 
-void Admission::RefuseOverflow(AdmissionOutput& output) {
-  // Refuses the last to start, not the last to arrive: a workspace that floods
-  // the queue pushes out its own works, never those of another.
-  while (m_queue.works().size() > MaxQueue())
-    output.refuse.push_back({m_queue.PopLast().work, Reason::kOverloaded});
+void Admission::RefuseOverflow(TimePoint now, AdmissionOutput& output) {
+  while (const std::optional<WorkId> work = FindOverflow(now)) {
+    m_queue.Remove(*work);
+    output.refuse.push_back({*work, Reason::kOverloaded});
+  }
+}
+
+// Refuses the last to start, not the last to arrive: a workspace that floods
+// the queue pushes out its own works, never those of another. Works that may no
+// longer be refused are refused only if there are no others. Late ones among
+// them delay no others and have a bound of their own.
+std::optional<WorkId> Admission::FindOverflow(TimePoint now) const {
+  std::size_t late_count = 0;
+  std::optional<WorkId> last;
+  for (const QueuedWork& work : m_queue.works()) {
+    if (!IsDecided(now, work))
+      last = work.work;
+    else if (work.timeliness == Timeliness::kLate)
+      ++late_count;
+  }
+  const std::size_t other_count = m_queue.works().size() - late_count;
+  if (other_count <= MaxQueue() && late_count <= MaxQueue())
+    return std::nullopt;
+  return last ? last : m_queue.works().back().work;
 }
 
 void Admission::ScheduleWakeup(TimePoint now) {
@@ -313,7 +370,11 @@
   std::size_t ahead = 0;
   for (const QueuedWork& work : m_queue.works()) {
     const Duration wait = ExpectedWait(now, release_rate, ahead++);
-    wakeup = std::min(wakeup, LatestStart(work) - wait);
+    wakeup =
+        std::min(wakeup, IsDecided(now, work) ? LatestStart(now, work)
+                                              : LatestStart(now, work) - wait);
+    if (work.decide_by && !IsDecided(now, work))
+      wakeup = std::min(wakeup, *work.decide_by);
     if (work.hold_ends)
       wakeup = std::min(wakeup, *work.hold_ends);
   }
@@ -365,8 +426,10 @@
   return FromSeconds(static_cast<double>(needed - Limit()) / release_rate);
 }
 
-TimePoint Admission::LatestStart(const QueuedWork& work) const {
+TimePoint Admission::LatestStart(TimePoint now, const QueuedWork& work) const {
   const Duration needed = m_service_times.FirstByte(work.kind, work.weight);
+  if (IsDecided(now, work))
+    return work.deadline - needed;
   return std::min(work.deadline - needed, work.max_wait_ends);
 }
 
@@ -389,7 +452,7 @@
     return Reason::kDeadlineTooShort;
   if (wait == Duration::zero() && !IsBlocked(work))
     return std::nullopt;
-  if (wait >= LatestStart(work) - now)
+  if (!IsDecided(now, work) && wait >= LatestStart(now, work) - now)
     return Reason::kOverloaded;
   return std::nullopt;
 }
--- a/source/core/admission/admission.h
+++ b/source/core/admission/admission.h
@@ -113,6 +113,12 @@
   // Whether works that would be in time by the mean service time, but probably
   // are not because of its spread, go after those that probably are.
   bool uses_likely_times = true;
+  // Whether requests of workspaces that have an objective are accepted or
+  // refused on arrival: under a lasting overload a last attempt may wait as long
+  // as it is in time, and a work that has waited for an eighth of its objective
+  // is not refused for lack of capacity. The latter also applies to nested
+  // calls.
+  bool decides_on_arrival = true;
   // Window of SlowdownBaseline.
   Duration baseline_window = std::chrono::milliseconds(1500);
 };
@@ -201,6 +207,11 @@
   std::uint32_t Limit() const;
   std::size_t MaxQueue() const;
   Duration MaxWaitOf(const AdmissionRequest& request) const;
+  bool DecidesOnArrival(const AdmissionRequest& request) const;
+  // Longest wait after which an average answer is in time.
+  Duration InTimeWaitOf(const AdmissionRequest& request) const;
+  // Whether the work may no longer be refused for lack of capacity.
+  bool IsDecided(TimePoint now, const QueuedWork& work) const;
   void UpdateHistories(TimePoint now);
 
   // Updates the queue and starts or refuses works after any event.
@@ -208,7 +219,9 @@
   Timeliness TimelinessOf(TimePoint now, const QueuedWork& work) const;
   void RefuseUnservable(TimePoint now, AdmissionOutput& output);
   void StartEligible(TimePoint now, AdmissionOutput& output);
-  void RefuseOverflow(AdmissionOutput& output);
+  void RefuseOverflow(TimePoint now, AdmissionOutput& output);
+  // The work to refuse because the queue is too long; empty if it is not.
+  std::optional<WorkId> FindOverflow(TimePoint now) const;
   void ScheduleWakeup(TimePoint now);
 
   bool IsDisturbed() const;
@@ -226,7 +239,7 @@
                         std::size_t ahead) const;
   // The same considering only the slots, not the gate.
   Duration WaitForSlot(double release_rate, std::size_t ahead) const;
-  TimePoint LatestStart(const QueuedWork& work) const;
+  TimePoint LatestStart(TimePoint now, const QueuedWork& work) const;
   // Whether the work cannot start although a slot is free.
   bool IsBlocked(const QueuedWork& work) const;
   // Why the work must be refused; empty if it may wait or start.
--- a/source/core/admission/admission_queue.h
+++ b/source/core/admission/admission_queue.h
@@ -41,6 +41,9 @@
   TimePoint deadline;
   // Latest start, independent of the deadline.
   TimePoint max_wait_ends;
+  // After this time the work is refused only if its deadline can no longer be
+  // met; empty if it may be refused at any time.
+  std::optional<TimePoint> decide_by{};
   // Time at which a work that waits for an undisturbed target is refused; empty
   // if it may wait as long as others.
   std::optional<TimePoint> hold_ends{};
--- a/source/unit_tests/core/admission/fair_load_test.cc
+++ b/source/unit_tests/core/admission/fair_load_test.cc
@@ -25,6 +25,8 @@
 using testing::SentKind;
 using testing::SumOf;
 
+constexpr SentKind kBalance{"balance", 160ms, 500ms, 1200ms};
+constexpr SentKind kDebit{"debit", 210ms, 800ms, 1200ms};
 constexpr SentKind kStatement{"statement", 400ms, 2000ms, 2000ms};
 constexpr SentKind kLookup{"lookup", 40ms, 150ms, 500ms};
 
@@ -135,5 +137,68 @@
         NestedLoad{"BurstOfLookUps", 4, 90, false, 0.5, 0.55, 0.6}),
     [](const auto& info) { return std::string(info.param.name); });
 
+struct DecisionLoad {
+  const char* name;
+  SentKind kind;
+  // Demand relative to the capacity.
+  double load;
+  // Maximum part of the requests refused after an eighth of their objective
+  // relative to a decision at any time, and minimum part answered in time.
+  double most_held;
+  double least_in_time;
+};
+
+class DecisionLoadTest : public ::testing::TestWithParam<DecisionLoad> {};
+
+// Guards against refusals after a long wait: under a lasting overload, requests
+// were accepted for two mean slot times whatever their objective, overtaken,
+// and refused when their caller had little time left.
+TEST_P(DecisionLoadTest, RequestsAreRefusedOnArrivalOrServed) {
+  OwnerLoad load;
+  Sender sender;
+  sender.workspace = "a";
+  sender.kind = GetParam().kind;
+  sender.per_second =
+      GetParam().load * load.slots / ToSeconds(sender.kind.takes);
+  sender.ends = 8s;
+  load.senders = {sender};
+  const SenderTally on_arrival = Replay(load).front();
+  load.settings.decides_on_arrival = false;
+  const SenderTally at_any_time = Replay(load).front();
+  EXPECT_LE(on_arrival.refused_late,
+            GetParam().most_held * at_any_time.refused_late)
+      << on_arrival.refused_late << " and " << at_any_time.refused_late;
+  EXPECT_GE(on_arrival.in_time, GetParam().least_in_time * at_any_time.in_time)
+      << on_arrival.in_time << " and " << at_any_time.in_time;
+  EXPECT_GE(on_arrival.answered(), 0.95 * at_any_time.answered())
+      << on_arrival.answered() << " and " << at_any_time.answered();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Loads,
+    DecisionLoadTest,
+    ::testing::Values(
+        DecisionLoad{"BalanceChecks", kBalance, 1.3, 0.5, 0.98},
+        DecisionLoad{"Debits", kDebit, 1.3, 0.4, 1.0},
+        // Statements can wait for more than a second and be in time.
+        DecisionLoad{"Statements", kStatement, 1.3, 0.2, 1.03},
+        DecisionLoad{"DeadlineOf3Seconds",
+                     {"fetch", 340ms, 1000ms, 3000ms},
+                     1.3,
+                     0.4,
+                     0.98},
+        DecisionLoad{"DeadlineOf8Seconds",
+                     {"fetch", 340ms, 1000ms, 8000ms},
+                     1.3,
+                     0.1,
+                     0.98},
+        // Only a start within 150 ms is in time.
+        DecisionLoad{"TightObjective",
+                     {"fetch", 340ms, 500ms, 8000ms},
+                     1.3,
+                     0.1,
+                     0.92}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 }  // namespace
 }  // namespace bulrushmount
