--- a/source/core/admission/admission.cc
+++ b/source/core/admission/admission.cc
@@ -20,6 +20,10 @@
   return now + *request.objective_left;
 }
 
+WorkClass ClassOf(const AdmissionRequest& request) {
+  return {request.rank, request.is_nested};
+}
+
 std::optional<TimePoint> HoldEndOf(TimePoint now,
                                    const AdmissionRequest& request) {
   if (request.max_hold <= Duration::zero())
@@ -27,6 +31,22 @@
   return now + request.max_hold;
 }
 
+// Load pattern: for some seconds a third more arrives than can be served. Works
+// that wait are overtaken by others that are more likely in time, are late
+// after some hundred milliseconds and then refused, so their callers lose time
+// that another attempt needs. A refusal within this fraction of the objective
+// costs little.
+constexpr double kDecisionFraction = 1.0 / 8;
+
+TimePoint DecideBy(TimePoint now, Duration objective_left) {
+  return now + FromSeconds(kDecisionFraction *
+                           std::max(0.0, ToSeconds(objective_left)));
+}
+
+bool HasWorkspace(const WorkspaceName& workspace) {
+  return !workspace.value().empty();
+}
+
 // Time that the request would have taken on an undisturbed target.
 Duration UndisturbedTime(Duration elapsed, double slowdown) {
   return FromSeconds(ToSeconds(elapsed) / slowdown);
@@ -89,23 +109,33 @@
 
 AdmissionOutput Admission::Arrive(TimePoint now,
                                   WorkId work,
-                                  const AdmissionRequest& request) {
+                                  const AdmissionRequest& arrived) {
   if (!m_is_open)
     return {.start = {}, .refuse = {{work, m_closed_reason}}};
-  UpdateRankHistories(now);
-  m_rank_histories[request.rank].last_arrival = now;
-  QueuedWork queued{.work = work,
-                    .workspace = request.workspace,
-                    .kind = request.kind,
-                    .weight = request.weight,
-                    .share = request.share,
-                    .deadline = now + request.time_left,
-                    .max_wait_ends = now + MaxWaitOf(request),
-                    .hold_ends = HoldEndOf(now, request),
-                    .objective = ObjectiveOf(now, request),
-                    .is_suspect = request.is_suspect};
-  m_queue.Push(request.rank, std::move(queued),
-               m_service_times.SlotTime(request.kind, request.weight));
+  AdmissionRequest request = arrived;
+  const Duration cost = m_service_times.SlotTime(request.kind, request.weight);
+  if (HasWorkspace(request.workspace)) {
+    m_shares.OnArrived(now, request.workspace, request.share, cost);
+    request.rank = RankOf(now, request);
+  }
+  UpdateHistories(now);
+  m_histories[ClassOf(request)].last_arrival = now;
+  QueuedWork queued{
+      .work = work,
+      .workspace = request.workspace,
+      .kind = request.kind,
+      .weight = request.weight,
+      .share = request.share,
+      .deadline = now + request.time_left,
+      .max_wait_ends = now + MaxWaitOf(now, request),
+      .decide_by = DecidesOnArrival(request)
+                       ? std::optional(DecideBy(now, *request.objective_left))
+                       : std::nullopt,
+      .hold_ends = HoldEndOf(now, request),
+      .objective = ObjectiveOf(now, request),
+      .is_suspect = request.is_suspect,
+      .is_nested = request.is_nested};
+  m_queue.Push(request.rank, std::move(queued), cost);
   return Reschedule(now);
 }
 
@@ -188,37 +218,91 @@
       std::ceil(m_settings.queue_per_slot * Limit()));
 }
 
-Duration Admission::MaxWaitOf(const AdmissionRequest& request) const {
-  const double waits = request.is_last_attempt && !IsOverloaded(request.rank)
-                           ? m_settings.max_wait_of_last_attempt
-                           : m_settings.max_wait;
+Duration Admission::MaxWaitOf(TimePoint now,
+                              const AdmissionRequest& request) const {
+  const double waits =
+      request.is_last_attempt && !IsOverloaded(ClassOf(request))
+          ? m_settings.max_wait_of_last_attempt
+          : m_settings.max_wait;
   const Duration expected =
       FromSeconds(waits * ToSeconds(m_service_times.slot_time_per_unit()));
+  const std::optional<Duration> in_time = OverloadWaitOf(now, request);
   if (!request.is_last_attempt)
-    return expected;
+    return in_time ? std::min(expected, *in_time) : expected;
   const double fraction = m_service_times.has_samples()
                               ? m_settings.min_wait_of_time_left
                               : m_settings.min_wait_before_first_answer;
-  return std::max(expected,
-                  FromSeconds(fraction * ToSeconds(request.time_left)));
+  const Duration least = FromSeconds(fraction * ToSeconds(request.time_left));
+  return std::max(in_time.value_or(expected), least);
+}
+
+// Nested calls are needed until their deadline, not until their objective.
+std::optional<Duration> Admission::OverloadWaitOf(
+    TimePoint now,
+    const AdmissionRequest& request) const {
+  if (!DecidesOnArrival(request) || request.is_nested ||
+      !IsBacklogged(ClassOf(request)))
+    return std::nullopt;
+  const Duration longest = InTimeWaitOf(request);
+  if (IsWithinShare(now, request))
+    return longest;
+  return FromSeconds(m_settings.excess_wait_fraction * ToSeconds(longest));
+}
+
+Rank Admission::RankOf(TimePoint now, const AdmissionRequest& request) const {
+  const Duration cost = m_service_times.SlotTime(request.kind, request.weight);
+  const bool is_underserved =
+      m_shares.IsUnderserved(now, request.workspace, cost);
+  return is_underserved ? 0 : request.rank;
+}
+
+bool Admission::IsWithinShare(TimePoint now,
+                              const AdmissionRequest& request) const {
+  Duration waiting = m_service_times.SlotTime(request.kind, request.weight);
+  for (const QueuedWork& work : m_queue.works()) {
+    if (work.workspace == request.workspace)
+      waiting += m_service_times.SlotTime(work.kind, work.weight);
+  }
+  return m_shares.IsWithinShare(now, request.workspace, waiting);
+}
+
+// A suspect may have to wait for another one, whose end is not predictable.
+bool Admission::DecidesOnArrival(const AdmissionRequest& request) const {
+  return m_settings.decides_on_arrival && request.objective_left &&
+         !request.is_suspect &&
+         (request.is_nested || HasWorkspace(request.workspace));
+}
+
+Duration Admission::InTimeWaitOf(const AdmissionRequest& request) const {
+  const Duration takes =
+      m_service_times.FirstByte(request.kind, request.weight);
+  return *request.objective_left - TimeOf(takes);
 }
 
-bool Admission::IsOverloaded(Rank rank) const {
-  const bool has_less_urgent_rank =
-      std::any_of(m_rank_histories.upper_bound(rank), m_rank_histories.end(),
+bool Admission::IsDecided(TimePoint now, const QueuedWork& work) const {
+  return work.decide_by && *work.decide_by < now;
+}
+
+bool Admission::IsOverloaded(const WorkClass& work_class) const {
+  const bool has_less_urgent_class =
+      std::any_of(m_histories.upper_bound(work_class), m_histories.end(),
                   [this](const auto& entry) {
                     return m_histories_updated_at - entry.second.last_arrival <=
-                           m_settings.rank_presence_time;
+                           m_settings.presence_time;
                   });
-  return !has_less_urgent_rank && m_rank_histories.at(rank).waiting_fraction >
-                                      m_settings.overload_fraction;
+  return !has_less_urgent_class && IsBacklogged(work_class);
+}
+
+bool Admission::IsBacklogged(const WorkClass& work_class) const {
+  return m_histories.at(work_class).waiting_fraction >
+         m_settings.overload_fraction;
 }
 
-void Admission::UpdateRankHistories(TimePoint now) {
+void Admission::UpdateHistories(TimePoint now) {
   const double decay = std::exp(-ToSeconds(now - m_histories_updated_at) /
                                 ToSeconds(m_settings.overload_time_constant));
-  for (auto& [rank, history] : m_rank_histories) {
-    const double waits = m_queue.CountUpTo(rank) > 0 ? 1 : 0;
+  for (auto& [work_class, history] : m_histories) {
+    const double waits = m_queue.CountUpTo(work_class) > 0 ? 1 : 0;
     history.waiting_fraction =
         waits + (history.waiting_fraction - waits) * decay;
   }
@@ -226,13 +310,14 @@
 }
 
 AdmissionOutput Admission::Reschedule(TimePoint now) {
-  UpdateRankHistories(now);
+  UpdateHistories(now);
   AdmissionOutput output;
   m_queue.UpdateTimeliness(
       [this, now](const QueuedWork& work) { return TimelinessOf(now, work); });
+  m_queue.SetContended(IsContended(now));
   RefuseUnservable(now, output);
   StartEligible(now, output);
-  RefuseOverflow(output);
+  RefuseOverflow(now, output);
   ScheduleWakeup(now);
   return output;
 }
@@ -244,18 +329,44 @@
                                    const QueuedWork& work) const {
   if (!work.objective)
     return Timeliness::kLikely;
-  const Duration left = *work.objective - now - m_settings.response_delay;
-  const auto takes = [this](Duration expected) {
-    return FromSeconds(ToSeconds(expected) * BaselineSlowdown());
-  };
-  if (takes(m_service_times.FirstByte(work.kind, work.weight)) > left)
+  const Duration left = *work.objective - now;
+  const Duration mean = m_service_times.FirstByte(work.kind, work.weight);
+  if (TimeOf(mean) > left)
     return Timeliness::kLate;
   const bool is_likely =
-      !m_settings.uses_likely_times ||
-      takes(m_service_times.LikelyFirstByte(work.kind, work.weight)) <= left;
+      !m_settings.uses_likely_times || LikelyTimeOf(work) <= left;
   return is_likely ? Timeliness::kLikely : Timeliness::kPossible;
 }
 
+Duration Admission::TimeOf(Duration undisturbed) const {
+  return m_settings.response_delay +
+         FromSeconds(ToSeconds(undisturbed) * BaselineSlowdown());
+}
+
+Duration Admission::LikelyTimeOf(const QueuedWork& work) const {
+  return TimeOf(m_service_times.LikelyFirstByte(work.kind, work.weight));
+}
+
+bool Admission::IsContended(TimePoint now) const {
+  std::vector<const QueuedWork*> due;
+  for (const QueuedWork& work : m_queue.works()) {
+    if (!work.objective)
+      return true;
+    if (work.timeliness != Timeliness::kLate)
+      due.push_back(&work);
+  }
+  std::sort(due.begin(), due.end(),
+            [](const QueuedWork* one, const QueuedWork* other) {
+              return *one->objective < *other->objective;
+            });
+  const double release_rate = ReleaseRate(now);
+  std::size_t ahead = 0;
+  return std::any_of(due.begin(), due.end(), [&](const QueuedWork* work) {
+    return ExpectedWait(now, release_rate, ahead++) >
+           *work->objective - now - LikelyTimeOf(*work);
+  });
+}
+
 void Admission::RefuseUnservable(TimePoint now, AdmissionOutput& output) {
   const double release_rate = ReleaseRate(now);
   const std::size_t first_new = output.refuse.size();
@@ -287,11 +398,30 @@
     m_queue.Reset();
 }
 
-void Admission::RefuseOverflow(AdmissionOutput& output) {
-  // Refuses the last to start, not the last to arrive: a workspace that floods
-  // the queue pushes out its own works, never those of another.
-  while (m_queue.works().size() > MaxQueue())
-    output.refuse.push_back({m_queue.PopLast().work, Reason::kOverloaded});
+void Admission::RefuseOverflow(TimePoint now, AdmissionOutput& output) {
+  while (const std::optional<WorkId> work = FindOverflow(now)) {
+    m_queue.Remove(*work);
+    output.refuse.push_back({*work, Reason::kOverloaded});
+  }
+}
+
+// Refuses the last to start, not the last to arrive: a workspace that floods
+// the queue pushes out its own works, never those of another. Works that may no
+// longer be refused are refused only if there are no others. Late ones among
+// them delay no others and have a bound of their own.
+std::optional<WorkId> Admission::FindOverflow(TimePoint now) const {
+  std::size_t late_count = 0;
+  std::optional<WorkId> last;
+  for (const QueuedWork& work : m_queue.works()) {
+    if (!IsDecided(now, work))
+      last = work.work;
+    else if (work.timeliness == Timeliness::kLate)
+      ++late_count;
+  }
+  const std::size_t other_count = m_queue.works().size() - late_count;
+  if (other_count <= MaxQueue() && late_count <= MaxQueue())
+    return std::nullopt;
+  return last ? last : m_queue.works().back().work;
 }
 
 void Admission::ScheduleWakeup(TimePoint now) {
@@ -307,7 +437,11 @@
   std::size_t ahead = 0;
   for (const QueuedWork& work : m_queue.works()) {
     const Duration wait = ExpectedWait(now, release_rate, ahead++);
-    wakeup = std::min(wakeup, LatestStart(work) - wait);
+    wakeup =
+        std::min(wakeup, IsDecided(now, work) ? LatestStart(now, work)
+                                              : LatestStart(now, work) - wait);
+    if (work.decide_by && !IsDecided(now, work))
+      wakeup = std::min(wakeup, *work.decide_by);
     if (work.hold_ends)
       wakeup = std::min(wakeup, *work.hold_ends);
   }
@@ -322,6 +456,10 @@
                           .in_flight_at_start = in_flight,
                           .slowdown_at_start = m_slowdown,
                           .is_suspect = work.is_suspect};
+  if (HasWorkspace(work.workspace)) {
+    m_shares.OnStarted(now, work.workspace,
+                       m_service_times.SlotTime(work.kind, work.weight));
+  }
   if (work.is_suspect)
     ++m_suspects_running;
 }
@@ -359,8 +497,10 @@
   return FromSeconds(static_cast<double>(needed - Limit()) / release_rate);
 }
 
-TimePoint Admission::LatestStart(const QueuedWork& work) const {
+TimePoint Admission::LatestStart(TimePoint now, const QueuedWork& work) const {
   const Duration needed = m_service_times.FirstByte(work.kind, work.weight);
+  if (IsDecided(now, work))
+    return work.deadline - needed;
   return std::min(work.deadline - needed, work.max_wait_ends);
 }
 
@@ -383,7 +523,7 @@
     return Reason::kDeadlineTooShort;
   if (wait == Duration::zero() && !IsBlocked(work))
     return std::nullopt;
-  if (wait >= LatestStart(work) - now)
+  if (!IsDecided(now, work) && wait >= LatestStart(now, work) - now)
     return Reason::kOverloaded;
   return std::nullopt;
 }
--- a/source/core/admission/admission_queue.h
+++ b/source/core/admission/admission_queue.h
@@ -2,6 +2,11 @@
 // workspaces share the slots by weight (start-time fair queueing), and within a
 // workspace the earliest objective or deadline goes first.
 //
+// Load pattern: many workspaces of very different sizes share a target that can
+// serve all of them in time. Fair queueing would make a large workspace's
+// requests late by letting small ones that have more time left go first. So
+// workspaces are only told apart while the queue is contended.
+//
 // Load pattern: for some seconds more requests arrive than can be answered in
 // time. In pure deadline order every one of them would be answered slightly too
 // late. So works that can no longer be in time (kLate) wait until there are no
@@ -41,6 +46,9 @@
   TimePoint deadline;
   // Latest start, independent of the deadline.
   TimePoint max_wait_ends;
+  // After this time the work is refused only if its deadline can no longer be
+  // met; empty if it may be refused at any time.
+  std::optional<TimePoint> decide_by{};
   // Time at which a work that waits for an undisturbed target is refused; empty
   // if it may wait as long as others.
   std::optional<TimePoint> hold_ends{};
@@ -50,6 +58,9 @@
   // Whether it can be answered by its objective; set by the queue.
   Timeliness timeliness = Timeliness::kLikely;
   bool is_suspect = false;
+  // A call that a target makes while it serves another request. Its caller
+  // holds a slot of its own until it is answered.
+  bool is_nested = false;
   // Virtual start time of fair queueing; set by the queue.
   double start_tag = 0;
 };
@@ -82,6 +93,11 @@
     return is_changed;
   }
 
+  // Sets whether workspaces share the slots fairly; otherwise the earliest
+  // objective or deadline of all goes first. Returns whether the order may have
+  // changed.
+  bool SetContended(bool is_contended);
+
   // Removes and returns the work that would start last. There must be one.
   QueuedWork PopLast();
 
@@ -97,10 +113,12 @@
   void Charge(const QueuedWork& work);
   void Reorder();
 
-  // Sorted by (timeliness, start_tag, due time).
+  // Sorted by (timeliness, start_tag, due time) while contended, otherwise by
+  // (timeliness, due time).
   std::vector<QueuedWork> m_works;
   // Start tag of the last work that started; never decreases except by `Reset`.
   double m_virtual_time = 0;
+  bool m_is_contended = true;
   // Virtual time at which a workspace's next work may start. Entries at or
   // below m_virtual_time have no effect and are pruned occasionally.
   std::unordered_map<WorkspaceName, double> m_finish_tags;
--- a/source/core/node_logic/entry_side.cc
+++ b/source/core/node_logic/entry_side.cc
@@ -75,9 +75,9 @@
     return;
   m_last_arrival = now;
   if (now >= m_refuse_from) {
-    m_parts.actions.Push(AnswerCaller{event.call, Outcome::kNotRun,
-                                      Reason::kDraining,
-                                      RetryAfterFor(Reason::kDraining)});
+    m_parts.actions.Push(AnswerCaller{
+        event.call, Outcome::kNotRun, Reason::kDraining,
+        RetryAfterFor(Reason::kDraining, LoadReport(), Duration::zero())});
     return;
   }
   m_pipeline.Start(now, event.call, std::move(event.head));
@@ -153,8 +153,9 @@
     return;
   }
   const std::optional<Duration> retry_after =
-      IsShedAtRandom(now, call, end) ? DrawImmediateRetryAfter(m_parts.random)
-                                     : RetryAfterFor(end.reason);
+      IsShedAtRandom(now, call, end)
+          ? DrawImmediateRetryAfter(m_parts.random)
+          : RetryAfterFor(end.reason, call.last_load, call.deadline - now);
   m_parts.actions.Push(
       AnswerCaller{call.id, end.outcome, end.reason, retry_after});
 }
@@ -168,10 +169,12 @@
              now, call.head.service);
 }
 
-std::optional<Duration> EntrySide::RetryAfterFor(Reason reason) const {
+std::optional<Duration> EntrySide::RetryAfterFor(Reason reason,
+                                                 const LoadReport& load,
+                                                 Duration left) const {
   if (!m_has_retry_after_policy)
     return std::nullopt;
-  return DrawRetryAfter(reason, m_parts.random);
+  return DrawRetryAfter(reason, load, left, m_parts.random);
 }
 
 void EntrySide::Record(TimePoint now, const Call& call, const CallEnd& end) {
--- a/source/core/node_logic/entry_side.h
+++ b/source/core/node_logic/entry_side.h
@@ -82,7 +82,9 @@
 
   void AddFilters(const NodeSettings& settings);
   // Retry-After of a refusal; empty: the default of the reason.
-  std::optional<Duration> RetryAfterFor(Reason reason) const;
+  std::optional<Duration> RetryAfterFor(Reason reason,
+                                        const LoadReport& load,
+                                        Duration left) const;
   // Whether the targets shed the call at random and not for lack of capacity.
   bool IsShedAtRandom(TimePoint now,
                       const Call& call,
