Add workspaces and digests of their keys to the routes

The routing document has no workspaces, so nothing can tell which keys are valid. RouteConfig gets an optional list of workspaces and each route the flag is_public.

RouteTable::Match is divided into FindRoute and SelectService, so that a request can be checked before it advances the round robin of the route's shares.

--- a/source/core/routes/route_config.h
+++ b/source/core/routes/route_config.h
@@ -1,6 +1,7 @@
 // The routing configuration: which requests go to which service, with their
-// timeouts and retry rules. Operators write it as one document; a decoder for
-// the format of the platform converts it to these values.
+// timeouts and retry rules, and the workspaces that may send them. Operators
+// write it as one document; a decoder for the format of the platform converts
+// it to these values.
 
 #ifndef BULRUSHMOUNT_CORE_ROUTES_ROUTE_CONFIG_H_
 #define BULRUSHMOUNT_CORE_ROUTES_ROUTE_CONFIG_H_
@@ -12,6 +13,7 @@
 
 #include "core/common/ids.h"
 #include "core/common/time.h"
+#include "core/workspaces/key_digest.h"
 
 namespace bulrushmount {
 
@@ -45,10 +47,28 @@
   std::uint32_t max_attempts = 1;
   // Not empty.
   std::vector<RouteShare> shares;
+  // Requests need no key, even if the document has workspaces.
+  bool is_public = false;
 
   friend bool operator==(const Route&, const Route&) = default;
 };
 
+// A customer whose requests are identified by its keys.
+struct Workspace {
+  // Not empty, without control characters.
+  WorkspaceName name;
+  // Empty if all keys are withdrawn.
+  std::vector<KeyDigest> keys;
+  // Overrides the priority of the routes; 0 is the most urgent.
+  std::optional<std::uint32_t> priority;
+  // Limit over the whole fleet, in requests; there is none if both are 0. Not
+  // negative.
+  double units_per_second = 0;
+  double burst_units = 0;
+
+  friend bool operator==(const Workspace&, const Workspace&) = default;
+};
+
 // Settings of all targets of a service.
 struct ServiceProfile {
   ServiceName name;
@@ -78,6 +98,9 @@
   std::vector<Route> routes;
   std::vector<ServiceProfile> services;
   CallerBounds callers;
+  // Unique names, and no key occurs in two of them. Empty optional: requests
+  // need no keys.
+  std::optional<std::vector<Workspace>> workspaces;
 
   friend bool operator==(const RouteConfig&, const RouteConfig&) = default;
 };
--- a/source/core/routes/route_table.cc
+++ b/source/core/routes/route_table.cc
@@ -40,6 +40,7 @@
   m_credits = std::move(credits);
   m_hosts = std::move(hosts);
   m_config = std::move(config);
+  m_workspaces.Replace(m_config.workspaces);
   m_is_known = true;
 }
 
@@ -77,11 +78,15 @@
 
 std::optional<RouteMatch> RouteTable::Match(std::string_view host,
                                             std::string_view target) {
-  const std::optional<std::size_t> index = FindIndex(host, target);
-  if (!index)
+  const Route* const route = FindRoute(host, target);
+  if (!route)
     return std::nullopt;
-  const Route& route = m_config.routes[*index];
-  return RouteMatch{&route, &route.shares[NextShare(*index)].service};
+  return RouteMatch{route, &SelectService(*route)};
+}
+
+const ServiceName& RouteTable::SelectService(const Route& route) {
+  const auto index = static_cast<std::size_t>(&route - m_config.routes.data());
+  return route.shares[NextShare(index)].service;
 }
 
 const ServiceProfile* RouteTable::FindService(const ServiceName& name) const {
--- a/source/core/routes/route_table.h
+++ b/source/core/routes/route_table.h
@@ -15,6 +15,7 @@
 #include "core/common/ids.h"
 #include "core/common/time.h"
 #include "core/routes/route_config.h"
+#include "core/workspaces/workspace_table.h"
 
 namespace bulrushmount {
 
@@ -39,12 +40,19 @@
 
   // Returns the matching route and selects a service by its shares. Empty if no
   // route matches. The pointers are valid until the next Replace.
+  std::optional<RouteMatch> Match(std::string_view host,
+                                  std::string_view target);
+
+  // Selects a service by the shares of a route that FindRoute has returned.
+  // Valid until the next Replace.
   //
   // Shares are selected by smooth weighted round robin instead of at random:
   // over 300 requests at 90:10 a random selection deviates by 1.7 percentage
   // points on average, round robin by less than one request.
-  std::optional<RouteMatch> Match(std::string_view host,
-                                  std::string_view target);
+  const ServiceName& SelectService(const Route& route);
+
+  // The workspaces of the configuration.
+  const WorkspaceTable& workspaces() const { return m_workspaces; }
 
   // Null if no service of that name is configured.
   const ServiceProfile* FindService(const ServiceName& name) const;
@@ -66,6 +74,7 @@
   // Indices into m_config: the routes of each host, longest prefix first.
   std::unordered_map<std::string, std::vector<std::size_t>> m_hosts;
   std::unordered_map<ServiceName, std::size_t> m_services;
+  WorkspaceTable m_workspaces;
 };
 
 }  // namespace bulrushmount
