Refuse requests without a key and name the workspace to the target

With workspaces in the routing document, every request was still served, and its key reached the target. The caller dialect now reads the key as a digest, and the entry decides on arrival: 404 if no route matches, then 401 (unknown-key) unless the route is public or the key is that of a workspace. The workspace's priority overrides the route's, and its name travels to the owner, whose target dialect sends it to the target. The entry removes the caller's key and workspace fields from what it sends, also on public routes. Without workspaces in the document nothing changes: the fields are forwarded as sent.

The check runs before a service is selected. Otherwise refused requests, which anyone can send, would shift the shares of a route and the estimates of retries. call.ended shows the workspace. The recorder's series stay those of service and kind on a node with a routing document, since histograms for each of thousands of workspaces would need too much memory.

RefusedRequestsDoNotShiftTheSharesOfARoute: 5 of 10 served requests go to each of two services with every second request refused.

--- a/source/core/common/outcome.cc
+++ b/source/core/common/outcome.cc
@@ -12,6 +12,7 @@
 using std::chrono_literals::operator""s;
 
 constexpr int kBadRequest = 400;
+constexpr int kUnauthorized = 401;
 constexpr int kForbidden = 403;
 constexpr int kNotFound = 404;
 constexpr int kRequestTimeout = 408;
@@ -64,6 +65,7 @@
     ReasonTraits{"throttled", kUnavailable, 1s},
     ReasonTraits{"evacuated", kUnavailable, 1s},
     ReasonTraits{"target-rate-limit", kUnavailable, 1s},
+    ReasonTraits{"unknown-key", kUnauthorized, std::nullopt},
 };
 
 static_assert(kTraits.size() == static_cast<std::size_t>(kLastReason) + 1);
--- a/source/core/common/outcome.h
+++ b/source/core/common/outcome.h
@@ -81,9 +81,12 @@
   // State of the system: the target accepts no more requests in time at the
   // rate that it has named.
   kTargetRateLimit = 37,
+  // A fault of the request: it carries no key of a workspace, and its route is
+  // not public.
+  kUnknownKey = 38,
 };
 
-inline constexpr Reason kLastReason = Reason::kTargetRateLimit;
+inline constexpr Reason kLastReason = Reason::kUnknownKey;
 
 // How a reason is reported to callers.
 struct ReasonTraits {
--- a/source/core/contracts/config_sync.h
+++ b/source/core/contracts/config_sync.h
@@ -17,6 +17,7 @@
 #include "core/common/time.h"
 #include "core/contracts/config_reader.h"
 #include "core/contracts/config_transfer.h"
+#include "core/contracts/confirmation_source.h"
 #include "core/contracts/contract_store.h"
 #include "core/evacuation/evacuation_table.h"
 
@@ -69,7 +70,7 @@
 // Upper bounds of the fleet's table reads, as a mean over one second:
 // fleet_polls_per_second, and while peers cannot serve the configuration,
 // fleet_fetches_per_second * (1 + kMaxSingleReads), which is 1,500.
-class ConfigSync {
+class ConfigSync : public ConfirmationSource {
  public:
   // All references must outlive the object, and the object must outlive its
   // requests.
@@ -130,7 +131,7 @@
   // Time since the configuration in force was last confirmed as the newest, by
   // a table read of this node or of a peer. Empty if it never was. Does not
   // include the transit time of one datagram between nodes.
-  std::optional<Duration> AgeOfConfirmation(TimePoint now) const;
+  std::optional<Duration> AgeOfConfirmation(TimePoint now) const override;
 
  private:
   enum class FetchState : std::uint8_t {
--- a/source/core/node_logic/actions.h
+++ b/source/core/node_logic/actions.h
@@ -29,6 +29,8 @@
   NodeId owner;
   Endpoint endpoint;
   WorkHead head;
+  // The caller's key and workspace are removed from the request.
+  bool removes_workspace_fields = false;
 };
 
 // Resets the stream of the attempt; data that still arrives is dropped.
--- a/source/core/node_logic/call_types.h
+++ b/source/core/node_logic/call_types.h
@@ -11,6 +11,7 @@
 #include "core/common/ids.h"
 #include "core/common/outcome.h"
 #include "core/common/time.h"
+#include "core/workspaces/key_digest.h"
 
 namespace bulrushmount {
 
@@ -18,6 +19,9 @@
 struct CallHead {
   RequestId request_id;
   WorkspaceName workspace;
+  // The key of a workspace; empty if the request carries none, or more than
+  // one.
+  std::optional<KeyDigest> key;
   ServiceName service;
   // Value of the Host header as received, with its port if present.
   std::string host;
--- a/source/core/node_logic/entry_side.cc
+++ b/source/core/node_logic/entry_side.cc
@@ -115,7 +115,9 @@
 void EntrySide::AddFilters(const NodeSettings& settings) {
   if (m_has_route_document) {
     m_pipeline.AddFilter(std::make_unique<RouteFilter>(
-        m_parts.routes, m_pipeline, settings.policies.retry_detector));
+        m_parts.routes, m_pipeline,
+        WorkspaceCheck(m_parts.confirmation, settings.max_unconfirmed_document),
+        settings.policies.retry_detector));
   } else {
     m_pipeline.AddFilter(
         std::make_unique<ContractFilter>(m_parts.contracts, m_pipeline));
@@ -174,7 +176,9 @@
            ToMilliseconds(call.head.deadline.value_or(Duration::zero())))
       .Add("waited_before_ms", ToMilliseconds(call.waited_before))
       .Add("ms", ToMilliseconds(now - call.arrived_at));
-  // A call without a matching route has no deadline.
+  if (!call.head.workspace.value().empty())
+    line.Add("workspace", call.head.workspace);
+  // A call that is refused before a service is selected has no deadline.
   if (call.deadline != TimePoint::max())
     line.Add("left_ms", ToMilliseconds(call.deadline - now));
   m_parts.metrics.OnCall(call.head.service, end.outcome, end.reason,
@@ -184,7 +188,10 @@
   if (!has_terms)
     return;
   CallRecord record;
-  record.workspace = call.head.workspace;
+  // The series of a routing document are those of its routes: thousands of
+  // workspaces would need more memory than the histograms may use.
+  if (!m_has_route_document)
+    record.workspace = call.head.workspace;
   record.service = call.head.service;
   record.kind = call.terms.kind.name;
   record.outcome = end.outcome;
--- a/source/core/node_logic/entry_side.h
+++ b/source/core/node_logic/entry_side.h
@@ -10,6 +10,7 @@
 
 #include "core/claims/claim_book.h"
 #include "core/common/random.h"
+#include "core/contracts/confirmation_source.h"
 #include "core/contracts/contract_store.h"
 #include "core/limits/workspace_limiter.h"
 #include "core/node_logic/events.h"
@@ -32,6 +33,7 @@
   struct Parts {
     const ContractStore& contracts;
     RouteTable& routes;
+    const ConfirmationSource& confirmation;
     WorkspaceLimiter& limiter;
     Quarantine& quarantine;
     ClaimBook& claims;
--- a/source/core/node_logic/node.cc
+++ b/source/core/node_logic/node.cc
@@ -172,11 +172,11 @@
               m_actions,
               now),
       m_probes(settings.id, MakeMeasuringSettings(settings), random),
-      m_entry(
-          settings,
-          EntrySide::Parts{m_contracts, m_routes, m_limiter, m_quarantine,
-                           m_claims, m_router, m_notices, m_recorder, m_metrics,
-                           *this, random, m_actions, m_event_time}) {
+      m_entry(settings,
+              EntrySide::Parts{m_contracts, m_routes, m_config_sync, m_limiter,
+                               m_quarantine, m_claims, m_router, m_notices,
+                               m_recorder, m_metrics, *this, random, m_actions,
+                               m_event_time}) {
   m_contracts.AddListener(this);
 }
 
--- a/source/core/node_logic/node_settings.h
+++ b/source/core/node_logic/node_settings.h
@@ -88,6 +88,10 @@
   // start that was offered; 0 where targets do not report their speed.
   std::uint32_t selective_attempts = 0;
 
+  // Requests with a key of a workspace are refused if the routing document has
+  // not been confirmed as the newest for this long; empty: they are served.
+  std::optional<Duration> max_unconfirmed_document;
+
   PolicySwitches policies;
 
   // Retry budget of the fleet: in any window of this length, hand-overs to
--- a/source/core/node_logic/node_updates.cc
+++ b/source/core/node_logic/node_updates.cc
@@ -286,7 +286,9 @@
   LogLine(LogLevel::kInfo, "routes.in_force")
       .Add("revision", document.revision)
       .Add("routes", document.config.routes.size())
-      .Add("services", document.config.services.size());
+      .Add("services", document.config.services.size())
+      .Add("workspaces",
+           document.config.workspaces ? document.config.workspaces->size() : 0);
   m_actions.Push(SetCallerBounds{document.config.callers});
   m_routes.Replace(std::move(document.config));
   m_owner.OnRoutesChanged(now);
--- a/source/core/pipeline/call.h
+++ b/source/core/pipeline/call.h
@@ -30,6 +30,9 @@
   std::uint32_t priority = 0;
   // Maximum number of targets that the call may be handed to.
   std::uint32_t max_hand_overs = std::numeric_limits<std::uint32_t>::max();
+  // The load balancer identifies the workspaces of requests: the key and the
+  // workspace that the caller has sent are not forwarded.
+  bool are_workspaces_checked = false;
 };
 
 // An attempt that was sent to an owner and has not ended.
--- a/source/core/pipeline/dispatcher.cc
+++ b/source/core/pipeline/dispatcher.cc
@@ -285,9 +285,9 @@
                         !is_selective && !MayTryAnotherOwner(now, call)};
   call.attempt = attempt;
   m_parts.router.OnSent(attempt.dispatch);
-  m_parts.actions.Push(DispatchAttempt{call.id, attempt.number, owner.id,
-                                       owner.stream_endpoint,
-                                       MakeWorkHead(now, call, owner)});
+  m_parts.actions.Push(DispatchAttempt{
+      call.id, attempt.number, owner.id, owner.stream_endpoint,
+      MakeWorkHead(now, call, owner), call.terms.are_workspaces_checked});
 }
 
 bool Dispatcher::HasOtherOwners(const Call& call) const {
--- a/source/core/pipeline/route_filter.cc
+++ b/source/core/pipeline/route_filter.cc
@@ -10,19 +10,26 @@
 FilterVerdict RouteFilter::OnCall(TimePoint now, Call& call) {
   if (!m_routes.is_known())
     return RefuseCall(Reason::kConfigurationUnknown);
-  const std::optional<RouteMatch> match =
-      m_routes.Match(call.head.host, call.head.target);
-  if (!match)
+  const Route* const matched =
+      m_routes.FindRoute(call.head.host, call.head.target);
+  if (!matched)
     return RefuseCall(Reason::kNoRoute);
-  const Route& route = *match->route;
-  call.head.service = *match->service;
+  const Route& route = *matched;
   KindTerms& kind = call.terms.kind;
   kind.name = route.name;
+  const WorkspaceVerdict workspace =
+      m_workspaces.Check(now, route, m_routes.workspaces(), call.head.key);
+  if (workspace.refusal != Reason::kNone)
+    return RefuseCall(workspace.refusal);
+  if (workspace.workspace)
+    call.head.workspace = workspace.workspace->name;
+  call.terms.are_workspaces_checked = m_routes.workspaces().is_in_use();
+  call.head.service = m_routes.SelectService(route);
   kind.is_repeatable = route.is_repeatable;
   kind.key_policy = KeyPolicy::kOptional;
   kind.deadline = route.timeout;
   kind.objective.within = route.latency_objective;
-  call.terms.priority = route.priority;
+  call.terms.priority = workspace.PriorityOn(route);
   call.terms.max_hand_overs = route.max_attempts;
   // The caller may shorten the timeout of the route but not extend it.
   call.deadline =
--- a/source/core/reporting/call_recorder.cc
+++ b/source/core/reporting/call_recorder.cc
@@ -135,6 +135,7 @@
     case Reason::kMalformedRequest:
     case Reason::kHeadTooLarge:
     case Reason::kUnknownWorkspace:
+    case Reason::kUnknownKey:
     case Reason::kUnknownService:
     case Reason::kUnknownKind:
     case Reason::kIdempotencyKeyRequired:
--- a/source/core/transport/callers/caller_dialect.h
+++ b/source/core/transport/callers/caller_dialect.h
@@ -41,6 +41,10 @@
   virtual HeaderList ForwardedFields(
       const boost::beast::http::fields& fields) const = 0;
 
+  // Removes the caller's key and workspace from forwarded fields. Called if the
+  // load balancer identifies the workspaces of requests.
+  virtual void RemoveWorkspaceFields(HeaderList& headers) const {}
+
   virtual AnswerHead MakeLocalAnswer(const LocalAnswer& answer) const = 0;
 
   // Adds the protocol's own fields to a target's answer.
--- a/source/core/transport/callers/entry_calls.cc
+++ b/source/core/transport/callers/entry_calls.cc
@@ -183,7 +183,9 @@
                               Reason::kNodeUnreachable});
     return;
   }
-  const WorkRequest request{action.head, exchange.headers(), exchange.shape()};
+  WorkRequest request{action.head, exchange.headers(), exchange.shape()};
+  if (action.removes_workspace_fields)
+    m_dialect.RemoveWorkspaceFields(request.headers);
   auto attempt =
       std::make_unique<Attempt>(action.call, action.attempt, m_events);
   auto stream =
--- a/source/unit_tests/core/node_logic/routed_node_test.cc
+++ b/source/unit_tests/core/node_logic/routed_node_test.cc
@@ -50,9 +50,10 @@
       std::string_view text) const override {
     if (text == "bad")
       return RouteDocumentFault{"no number"};
-    return RouteDocument{Revision(std::stoull(std::string(text))),
-                         ExampleRoutes()};
+    return RouteDocument{Revision(std::stoull(std::string(text))), config};
   }
+
+  RouteConfig config = ExampleRoutes();
 };
 
 // A node with a table that answers at once and a target that answers when the
@@ -165,8 +166,11 @@
     Advance(10ms);
   }
 
-  CallId Call(const std::string& target) {
+  // With the key of a workspace unless `key` is empty.
+  CallId Call(const std::string& target, const std::string& key = "") {
     CallHead head;
+    if (!key.empty())
+      head.key = KeyDigest::Of(key);
     head.request_id = RequestId("r");
     head.host = "desk.example";
     head.method = "GET";
@@ -520,5 +524,126 @@
   EXPECT_TRUE(Next<HandToTarget>());
 }
 
+class KeyedNodeTest : public RoutedNodeTest {
+ protected:
+  KeyedNodeTest() { SetKeys({"k-1"}, {"k-2"}); }
+
+  // Sets the keys of two workspaces in the next document. The second one has a
+  // priority of its own. The route of bookings is public.
+  void SetKeys(const std::vector<std::string>& first,
+               const std::vector<std::string>& second) {
+    Workspace one;
+    one.name = WorkspaceName("one");
+    Workspace two;
+    two.name = WorkspaceName("two");
+    two.priority = 2;
+    for (const std::string& key : first)
+      one.keys.push_back(KeyDigest::Of(key));
+    for (const std::string& key : second)
+      two.keys.push_back(KeyDigest::Of(key));
+    m_decoder.config.routes[0].priority = 1;
+    m_decoder.config.routes[1].is_public = true;
+    m_decoder.config.workspaces = {one, two};
+  }
+
+  // Returns the reason of the refusal, or kNone and sets m_attempt if the call
+  // is sent to an owner.
+  Reason Send(const std::string& target, const std::string& key) {
+    const CallId call = Call(target, key);
+    m_attempt = Next<DispatchAttempt>();
+    if (m_attempt) {
+      Deliver(CallerDisconnected{call});
+      return Reason::kNone;
+    }
+    const auto answer = Next<AnswerCaller>();
+    return answer ? answer->reason : Reason::kMalformedRequest;
+  }
+
+  std::optional<DispatchAttempt> m_attempt;
+};
+
+TEST_F(KeyedNodeTest, OwnerLearnsTheWorkspaceAndItsPriority) {
+  Start();
+  ASSERT_EQ(Send("/read/1", "k-1"), Reason::kNone);
+  EXPECT_EQ(m_attempt->head.workspace, WorkspaceName("one"));
+  EXPECT_EQ(m_attempt->head.priority, 1U);
+  EXPECT_TRUE(m_attempt->removes_workspace_fields);
+  ASSERT_EQ(Send("/read/1", "k-2"), Reason::kNone);
+  EXPECT_EQ(m_attempt->head.workspace, WorkspaceName("two"));
+  EXPECT_EQ(m_attempt->head.priority, 2U);
+}
+
+TEST_F(KeyedNodeTest, PublicRequestHasNoWorkspace) {
+  Start();
+  for (const char* const key : {"", "k-1", "unknown"}) {
+    ASSERT_EQ(Send("/book/1", key), Reason::kNone);
+    EXPECT_EQ(m_attempt->head.workspace, WorkspaceName());
+    EXPECT_TRUE(m_attempt->removes_workspace_fields);
+  }
+}
+
+// Guards against 401 for a path that does not exist, and against 401 before the
+// keys are known.
+TEST_F(KeyedNodeTest, UnknownKeyIsReportedOnlyForKnownRoutes) {
+  m_is_table_unavailable = true;
+  Advance(3s);
+  EXPECT_EQ(Send("/read/1", "unknown"), Reason::kConfigurationUnknown);
+  m_is_table_unavailable = false;
+  Advance(3s);
+  Start();
+  EXPECT_EQ(Send("/read/1", "unknown"), Reason::kUnknownKey);
+  EXPECT_EQ(Send("/read/1", ""), Reason::kUnknownKey);
+  EXPECT_EQ(Send("/nowhere/", "unknown"), Reason::kNoRoute);
+}
+
+// Failure: a withdrawn key is served, or a new one refused, because the keys of
+// an earlier document remain in the table.
+TEST_F(KeyedNodeTest, KeysFollowTheDocument) {
+  Start();
+  SetKeys({"k-2", "k-3"}, {});
+  WriteDocument("7");
+  EXPECT_EQ(Send("/read/1", "k-1"), Reason::kUnknownKey);
+  ASSERT_EQ(Send("/read/1", "k-2"), Reason::kNone);
+  EXPECT_EQ(m_attempt->head.workspace, WorkspaceName("one"));
+  EXPECT_EQ(Send("/read/1", "k-3"), Reason::kNone);
+  // An older document and a faulty one change nothing.
+  SetKeys({"k-1"}, {"k-2"});
+  WriteDocument("6");
+  WriteDocument("bad");
+  EXPECT_EQ(Send("/read/1", "k-1"), Reason::kUnknownKey);
+  EXPECT_EQ(Send("/read/1", "k-3"), Reason::kNone);
+}
+
+// Without workspaces in the document, the caller's fields reach the target as
+// they were sent, and keys have no effect.
+TEST_F(KeyedNodeTest, ADocumentWithoutWorkspacesIgnoresKeys) {
+  m_decoder.config = ExampleRoutes();
+  Start();
+  for (const char* const key : {"", "k-1", "unknown"}) {
+    ASSERT_EQ(Send("/read/1", key), Reason::kNone);
+    EXPECT_EQ(m_attempt->head.workspace, WorkspaceName());
+    EXPECT_EQ(m_attempt->head.priority, 0U);
+    EXPECT_FALSE(m_attempt->removes_workspace_fields);
+  }
+}
+
+// Failure: requests with unknown keys shift the traffic between the services of
+// a route. With equal shares and every second request refused, all requests
+// that are served go to the same service.
+TEST_F(KeyedNodeTest, RefusedRequestsDoNotShiftTheSharesOfARoute) {
+  const ServiceName other("counter");
+  m_decoder.config.routes[0].shares = {{kService, 1}, {other, 1}};
+  m_decoder.config.services.push_back({other, "/health", 100});
+  Start();
+  int answered = 0;
+  for (int i = 0; i < 10; ++i) {
+    // The other service has no targets.
+    const Reason reason = Send("/read/1", "k-1");
+    answered += reason == Reason::kNone ? 1 : 0;
+    EXPECT_EQ(Send("/read/1", "unknown"), Reason::kUnknownKey);
+  }
+  EXPECT_EQ(answered, 5);
+}
+
 }  // namespace
 }  // namespace bulrushmount
