Keep confirmations of the document recent where keys depend on them

But watches of an idle table last 25 s and confirmations spread by one pulse in 2 s, so healthy nodes would refuse nearly everything; and a node that was frozen takes the ages in datagrams that waited for it for current ones, and would serve withdrawn keys.

An age then counts from the pulse that the answer repeats by its token, or from the start of a read or watch. Without the setting nothing changes, on the wire either.

--- a/source/core/contracts/config_codec.cc
+++ b/source/core/contracts/config_codec.cc
@@ -109,6 +109,8 @@
     message.set_confirmed_age_ms(static_cast<std::uint64_t>(age.count()));
   }
   message.set_is_answer(pulse.is_answer);
+  message.set_token(pulse.token);
+  message.set_answered_token(pulse.answered_token);
   if (pulse.evacuations)
     *message.mutable_evacuations() = ToProto(*pulse.evacuations);
   return message;
@@ -121,6 +123,8 @@
         std::min(message.confirmed_age_ms(), kMaxAgeMs));
   }
   pulse.is_answer = message.is_answer();
+  pulse.token = message.token();
+  pulse.answered_token = message.answered_token();
   if (message.has_evacuations())
     pulse.evacuations = FromProto(message.evacuations());
   return pulse;
--- a/source/core/contracts/config_codec.h
+++ b/source/core/contracts/config_codec.h
@@ -61,6 +61,11 @@
   // not answered, so nodes that know different zones do not exchange pulses
   // endlessly.
   bool is_answer = false;
+  // A random number that an answer repeats, so that the sender knows that the
+  // answer is not older than this pulse; 0 if it needs none.
+  std::uint64_t token = 0;
+  // The token of the pulse that this one answers; 0 without one.
+  std::uint64_t answered_token = 0;
 };
 
 using ConfigDatagram = std::variant<BatchRequest, BatchChunk, RevisionPulse>;
--- a/source/core/contracts/config_sync.cc
+++ b/source/core/contracts/config_sync.cc
@@ -21,6 +21,18 @@
 // the table is available again.
 constexpr Duration kMaxWatchRetryDelay = std::chrono::seconds(2);
 
+// With a maximum age of confirmation: its part that passes between two pulses
+// of a node, and the difference of two nodes' ages from which the younger one
+// is sent back.
+constexpr double kPulsePart = 1.0 / 16;
+constexpr double kAnswerPart = 1.0 / 20;
+// Pulses of the last five seconds if the maximum age is five seconds.
+constexpr std::size_t kMaxTokens = 16;
+// A node whose confirmation is older than this part of the maximum reads the
+// table itself. This occurs while no watchers are selected yet, and where
+// datagrams are lost.
+constexpr double kOwnReadPart = 0.75;
+
 Duration Scale(Duration duration, double factor) {
   return FromSeconds(ToSeconds(duration) * factor);
 }
@@ -127,7 +139,7 @@
     m_uploader.OnRequest(now, from, *request);
     // A new node routes no calls before it knows the evacuations as well.
     if (request->since == Revision(0))
-      SendPulse(now, from, /*is_answer=*/true);
+      SendAnswer(now, from, /*answered_token=*/0);
   } else if (const auto* const chunk = std::get_if<BatchChunk>(&*datagram))
     OnChunk(now, from, *chunk);
   else if (const auto* const pulse = std::get_if<RevisionPulse>(&*datagram))
@@ -136,14 +148,17 @@
 
 void ConfigSync::OnTimer(TimePoint now) {
   if (now >= m_next_pulse) {
-    m_next_pulse =
-        now + Jittered(now < m_fast_pulses_until ? m_settings.fast_pulse_period
-                                                 : m_settings.pulse_period);
+    m_next_pulse = now + Jittered(PulsePeriod(now));
     SendPulses(now, 1);
   }
   if (m_fetch_state != FetchState::kIdle && now >= m_fetch_at)
     AdvanceFetch(now);
   ResumeWatching(now);
+  if (now >= NextConfirmingRead()) {
+    // A table that does not respond is asked once per maximum age.
+    m_next_confirming_read = now + Jittered(*m_settings.max_confirmation_age);
+    ReadTable(now);
+  }
   if (now >= m_next_poll) {
     const bool is_first_schedule =
         m_reader->can_watch() && m_poll_interval == Duration::zero();
@@ -154,7 +169,7 @@
 }
 
 TimePoint ConfigSync::NextWakeup() const {
-  TimePoint next = std::min(m_next_poll, m_next_pulse);
+  TimePoint next = std::min({m_next_poll, m_next_pulse, NextConfirmingRead()});
   if (m_fetch_state != FetchState::kIdle &&
       m_fetch_state != FetchState::kTableReading)
     next = std::min(next, m_fetch_at);
@@ -167,6 +182,14 @@
   return now - *m_confirmed_at;
 }
 
+TimePoint ConfigSync::NextConfirmingRead() const {
+  if (!m_settings.max_confirmation_age || !m_confirmed_at)
+    return TimePoint::max();
+  return std::max(
+      m_next_confirming_read,
+      *m_confirmed_at + Scale(*m_settings.max_confirmation_age, kOwnReadPart));
+}
+
 Duration ConfigSync::PollInterval() const {
   const double fleet_rate = m_reader->can_watch()
                                 ? m_settings.fleet_checks_per_second
@@ -222,25 +245,86 @@
   MergePeerEvacuations(now, from, pulse);
   if (pulse.revision.value() > m_store.revision().value())
     return OnRevisionReported(now, from, pulse.revision);
-  if (pulse.revision.value() < m_store.revision().value())
-    SendPulse(now, from, /*is_answer=*/true);
-  // The peer's confirmation also covers the configuration in force here, which
-  // is not older than the peer's.
-  if (pulse.confirmed_age.has_value()) {
-    const TimePoint confirmed_at = now - *pulse.confirmed_age;
-    if (!m_confirmed_at.has_value() || *m_confirmed_at < confirmed_at)
-      m_confirmed_at = confirmed_at;
+  if (pulse.revision.value() < m_store.revision().value() ||
+      LacksConfirmation(now, pulse))
+    SendAnswer(now, from, pulse.token);
+  TakeConfirmation(now, pulse);
+}
+
+Duration ConfigSync::PulsePeriod(TimePoint now) const {
+  const Duration period = now < m_fast_pulses_until
+                              ? m_settings.fast_pulse_period
+                              : m_settings.pulse_period;
+  return m_settings.max_confirmation_age
+             ? std::min(period,
+                        Scale(*m_settings.max_confirmation_age, kPulsePart))
+             : period;
+}
+
+bool ConfigSync::LacksConfirmation(TimePoint now,
+                                   const RevisionPulse& pulse) const {
+  if (!m_settings.max_confirmation_age || pulse.is_answer || !m_confirmed_at)
+    return false;
+  return !pulse.confirmed_age ||
+         *pulse.confirmed_age - (now - *m_confirmed_at) >
+             Scale(*m_settings.max_confirmation_age, kAnswerPart);
+}
+
+// The peer's confirmation also covers the configuration in force here, which is
+// not older than the peer's.
+//
+// The peer stated the age before this datagram was sent, which may be long ago:
+// a process that was frozen handles the datagrams of that time when it resumes.
+// Where the age matters, it counts from the pulse that the peer has answered.
+void ConfigSync::TakeConfirmation(TimePoint now, const RevisionPulse& pulse) {
+  if (!pulse.confirmed_age)
+    return;
+  TimePoint stated_after = now;
+  if (m_settings.max_confirmation_age) {
+    const auto sent = std::find_if(m_tokens.begin(), m_tokens.end(),
+                                   [&pulse](const SentToken& one) {
+                                     return one.token == pulse.answered_token;
+                                   });
+    if (sent == m_tokens.end())
+      return;
+    stated_after = sent->at;
   }
+  const TimePoint confirmed_at = stated_after - *pulse.confirmed_age;
+  m_confirmed_at =
+      std::max(m_confirmed_at.value_or(confirmed_at), confirmed_at);
 }
 
-void ConfigSync::SendPulse(TimePoint now, const Endpoint& to, bool is_answer) {
+RevisionPulse ConfigSync::MakePulse(TimePoint now) const {
   RevisionPulse pulse{m_store.revision(), AgeOfConfirmation(now)};
-  pulse.is_answer = is_answer;
   if (m_evacuations.is_known())
     pulse.evacuations = m_evacuations.Report();
+  return pulse;
+}
+
+void ConfigSync::SendPulse(TimePoint now, const Endpoint& to) {
+  RevisionPulse pulse = MakePulse(now);
+  if (m_settings.max_confirmation_age)
+    pulse.token = NewToken(now);
   m_port.Send(to, DatagramKind::kConfig, EncodeDatagram(pulse));
 }
 
+void ConfigSync::SendAnswer(TimePoint now,
+                            const Endpoint& to,
+                            std::uint64_t answered_token) {
+  RevisionPulse pulse = MakePulse(now);
+  pulse.is_answer = true;
+  pulse.answered_token = answered_token;
+  m_port.Send(to, DatagramKind::kConfig, EncodeDatagram(pulse));
+}
+
+std::uint64_t ConfigSync::NewToken(TimePoint now) {
+  if (m_tokens.size() == kMaxTokens)
+    m_tokens.pop_front();
+  // 0 means that there is no token.
+  m_tokens.push_back({std::max<std::uint64_t>(m_random.NextBits(), 1), now});
+  return m_tokens.back().token;
+}
+
 void ConfigSync::ApplyEvacuationRead(TimePoint now,
                                      const EvacuationRead& read) {
   if (m_evacuations.OnRead(now, read))
@@ -255,7 +339,7 @@
   const bool lacks_any =
       !pulse.evacuations || m_evacuations.IsNewerThan(*pulse.evacuations);
   if (m_evacuations.is_known() && lacks_any && !pulse.is_answer)
-    SendPulse(now, from, /*is_answer=*/true);
+    SendAnswer(now, from, pulse.token);
 }
 
 void ConfigSync::AnnounceEvacuations(TimePoint now) {
@@ -270,8 +354,7 @@
   for (std::uint32_t i = 0; i < count; ++i) {
     const auto index =
         static_cast<std::ptrdiff_t>(m_random.Index(m_peers.size()));
-    SendPulse(now, std::next(m_peers.begin(), index)->first,
-              /*is_answer=*/false);
+    SendPulse(now, std::next(m_peers.begin(), index)->first);
   }
 }
 
@@ -458,6 +541,7 @@
   if (!m_is_on_duty || m_is_watching)
     return;
   m_is_watching = true;
+  m_watch_started = now;
   m_reader->Watch(m_store.revision(),
                   [this](TimePoint at, const ConfigReadResult& result) {
                     OnWatched(at, result);
@@ -468,7 +552,10 @@
   m_is_watching = false;
   RecordTableState(now, result.is_ok);
   if (result.is_ok) {
-    m_confirmed_at = std::max(m_confirmed_at.value_or(now), now);
+    // The response may have been on its way for as long as the watch lasted.
+    const TimePoint as_of =
+        m_settings.max_confirmation_age ? m_watch_started : now;
+    m_confirmed_at = std::max(m_confirmed_at.value_or(as_of), as_of);
     if (result.evacuations)
       ApplyEvacuationRead(now, *result.evacuations);
     if (result.batch.has_value())
--- a/source/core/contracts/config_sync.h
+++ b/source/core/contracts/config_sync.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <optional>
 #include <string_view>
@@ -65,8 +66,18 @@
   // Number of peers notified at once when a newer configuration comes into
   // force.
   std::uint32_t push_fanout = 4;
+  // If set, the age of confirmation stays below this at all nodes that reach
+  // each other while any of them can read the table, and it is never reported
+  // as lower than it is, however late datagrams and responses are handled.
+  std::optional<Duration> max_confirmation_age{};
 };
 
+// Maximum duration of a watch, so that a watcher's confirmation takes up a
+// small part of the permitted age: 1 s of 5 s.
+inline Duration MaxWatchTime(Duration max_confirmation_age) {
+  return max_confirmation_age / 5;
+}
+
 // Upper bounds of the fleet's table reads, as a mean over one second:
 // fleet_polls_per_second, and while peers cannot serve the configuration,
 // fleet_fetches_per_second * (1 + kMaxSingleReads), which is 1,500.
@@ -129,8 +140,9 @@
   }
 
   // Time since the configuration in force was last confirmed as the newest, by
-  // a table read of this node or of a peer. Empty if it never was. Does not
-  // include the transit time of one datagram between nodes.
+  // a table read of this node or of a peer. Empty if it never was. Without
+  // max_confirmation_age it does not include the transit times of datagrams
+  // between nodes.
   std::optional<Duration> AgeOfConfirmation(TimePoint now) const override;
 
  private:
@@ -144,11 +156,19 @@
     kTableReading,
   };
 
+  struct SentToken {
+    std::uint64_t token = 0;
+    TimePoint at;
+  };
+
   struct Peer {
     NodeId node;
     Revision revision;
   };
 
+  // When this node reads the table because its confirmation is getting old;
+  // TimePoint::max() for never.
+  TimePoint NextConfirmingRead() const;
   Duration PollInterval() const;
   void SchedulePoll(TimePoint now);
   Duration Jittered(Duration mean);
@@ -168,7 +188,17 @@
                             const Endpoint& from,
                             const RevisionPulse& pulse);
   void AnnounceEvacuations(TimePoint now);
-  void SendPulse(TimePoint now, const Endpoint& to, bool is_answer);
+  Duration PulsePeriod(TimePoint now) const;
+  // Whether the peer has a confirmation that is older than this node's by so
+  // much that it should receive this node's at once.
+  bool LacksConfirmation(TimePoint now, const RevisionPulse& pulse) const;
+  void TakeConfirmation(TimePoint now, const RevisionPulse& pulse);
+  RevisionPulse MakePulse(TimePoint now) const;
+  void SendPulse(TimePoint now, const Endpoint& to);
+  void SendAnswer(TimePoint now,
+                  const Endpoint& to,
+                  std::uint64_t answered_token);
+  std::uint64_t NewToken(TimePoint now);
   void SendPulses(TimePoint now, std::uint32_t count);
 
   void AdvanceFetch(TimePoint now);
@@ -226,7 +256,13 @@
   // The last response of the table was valid.
   bool m_is_table_available = true;
   TimePoint m_read_started;
+  TimePoint m_watch_started;
   std::optional<TimePoint> m_confirmed_at;
+  // No confirming read before this time.
+  TimePoint m_next_confirming_read;
+  // The last pulses that may be answered with a confirmation, oldest first, at
+  // most kMaxTokens. Empty without max_confirmation_age.
+  std::deque<SentToken> m_tokens;
 };
 
 }  // namespace bulrushmount
--- a/source/core/contracts/operator_document_reader.cc
+++ b/source/core/contracts/operator_document_reader.cc
@@ -62,7 +62,7 @@
 }
 
 void OperatorDocumentReader::Watch(Revision since, const Callback& done) {
-  m_table.Submit(TableWatch{kOperatorRowPrefix, m_seen.version, kWatchTime},
+  m_table.Submit(TableWatch{kOperatorRowPrefix, m_seen.version, m_watch_time},
                  [this, since, done](TimePoint now, const TableReply& reply) {
                    done(now, ProcessReply(since, reply, /*is_complete=*/false));
                  });
--- a/source/core/contracts/operator_document_reader.h
+++ b/source/core/contracts/operator_document_reader.h
@@ -33,8 +33,9 @@
   // `table` and `decoder` must outlive the object, and the object must outlive
   // its requests.
   OperatorDocumentReader(TableService& table,
-                         const RouteDocumentDecoder& decoder)
-      : m_table(table), m_decoder(decoder) {}
+                         const RouteDocumentDecoder& decoder,
+                         Duration watch_time = kWatchTime)
+      : m_table(table), m_decoder(decoder), m_watch_time(watch_time) {}
 
   bool is_reading() const override { return m_is_reading; }
   void Read(Revision since, Callback done) override;
@@ -49,6 +50,7 @@
 
   TableService& m_table;
   const RouteDocumentDecoder& m_decoder;
+  const Duration m_watch_time;
   bool m_is_reading = false;
   // The position up to which the rows' changes have been read. Its version is
   // only meaningful within its epoch.
--- a/source/core/node_logic/node.cc
+++ b/source/core/node_logic/node.cc
@@ -70,6 +70,7 @@
 ConfigSyncSettings MakeConfigSettings(const NodeSettings& settings) {
   ConfigSyncSettings config;
   config.fleet_polls_per_second = settings.fleet_config_polls_per_second;
+  config.max_confirmation_age = settings.max_unconfirmed_document;
   return config;
 }
 
@@ -101,11 +102,17 @@
 }
 
 std::unique_ptr<ConfigReader> MakeConfigReader(
+    const NodeSettings& settings,
     TableService& table,
     const RouteDocumentDecoder* decoder) {
   if (!decoder)
     return std::make_unique<ConfigTableReader>(table);
-  return std::make_unique<OperatorDocumentReader>(table, *decoder);
+  const Duration watch_time =
+      settings.max_unconfirmed_document
+          ? std::min(kWatchTime,
+                     MaxWatchTime(*settings.max_unconfirmed_document))
+          : kWatchTime;
+  return std::make_unique<OperatorDocumentReader>(table, *decoder, watch_time);
 }
 
 WallAnchor AnchorAt(TimePoint now) {
@@ -146,7 +153,7 @@
       m_config_sync(MakeConfigSettings(settings),
                     m_contracts,
                     m_evacuations,
-                    MakeConfigReader(m_table, decoder),
+                    MakeConfigReader(settings, m_table, decoder),
                     m_datagrams,
                     random,
                     now),
--- a/source/core/settings/daemon_settings.cc
+++ b/source/core/settings/daemon_settings.cc
@@ -262,6 +262,17 @@
   map.Finish();
 }
 
+void ReadWorkspaceKeys(const YamlNode* node,
+                       NodeSettings& settings,
+                       YamlFaults& faults) {
+  if (node == nullptr)
+    return;
+  YamlMapReader map(*node, faults);
+  settings.max_unconfirmed_document = ReadDuration(
+      map.Optional("max_unconfirmed"), {seconds(1), hours(24)}, faults);
+  map.Finish();
+}
+
 std::optional<LogLevel> ReadLogLevel(const YamlNode* node, YamlFaults& faults) {
   const std::optional<std::string> text = ReadText(node, faults);
   if (!text.has_value())
@@ -298,6 +309,7 @@
   settings.node.known_zones =
       ReadZones(map.Optional("known_availability_zones"), faults);
   ReadColdStart(map.Optional("cold_start"), settings.node.cold_start, faults);
+  ReadWorkspaceKeys(map.Optional("workspace_keys"), settings.node, faults);
   settings.node.region =
       Region(ReadName(map.Required("region"), faults).value_or(""));
   settings.node.stream_endpoint =
--- a/source/unit_tests/core/settings/daemon_settings_test.cc
+++ b/source/unit_tests/core/settings/daemon_settings_test.cc
@@ -70,6 +70,23 @@
   EXPECT_EQ(settings.node.region, Region("quito"));
 }
 
+// Without the setting, requests with keys are served however old the routing
+// document is.
+TEST(DaemonSettingsTest, MaximumAgeOfAnUnconfirmedDocumentIsOptional) {
+  EXPECT_EQ(
+      TryParseDaemonSettings(kMinimal).settings->node.max_unconfirmed_document,
+      std::nullopt);
+  const std::string text = kMinimal;
+  const DaemonSettingsOrFaults strict = TryParseDaemonSettings(
+      text + "workspace_keys:\n  max_unconfirmed: 2.5s\n");
+  ASSERT_TRUE(strict.settings.has_value()) << ToString(strict.faults);
+  EXPECT_EQ(strict.settings->node.max_unconfirmed_document,
+            std::chrono::milliseconds(2500));
+  EXPECT_FALSE(
+      TryParseDaemonSettings(text + "workspace_keys:\n  max_unconfirmed: 0s\n")
+          .settings.has_value());
+}
+
 TEST(DaemonSettingsTest, TokenFileAllowsOtherOperatorAddresses) {
   std::string text = kMinimal;
   text.replace(text.find("127.0.0.1:5"), 11, "192.0.2.1:5");
