Accept a slower start in the own zone while there is time to spare

Cause: owners of the own zone refused starts above the slowdown that an entry would find elsewhere, and the calls left the zone although they would have been in time: half of the refused attempts were near ones.

An attempt at an owner of the own zone now accepts a slowdown that is higher by half of what the call may spend to stay in its zone.

--- a/source/core/pipeline/dispatcher.cc
+++ b/source/core/pipeline/dispatcher.cc
@@ -405,8 +405,11 @@
   head.priority = call.terms.priority;
   if (m_settings.has_objectives)
     head.objective_left = ObjectiveLeft(now, call);
-  head.max_slowdown =
-      call.attempt->is_selective ? AcceptableSlowdown(now, call) : 0.0;
+  if (call.attempt->is_selective) {
+    head.max_slowdown = AcceptableSlowdown(now, call);
+    if (owner.zone == m_settings.zone)
+      head.max_slowdown += OfferAdvantage(now, call) / 2;
+  }
   head.max_hold = MaxHold(now, call, owner);
   if (owner.target) {
     head.target_process = owner.target->process;
