Prefer the availability zone in the exchange of membership

Heartbeats, table comparisons and news chose members without regard to zones, so two thirds of their bytes crossed between zones in a fleet of three. After a start, most of them were news that each node passed on 14 times.

A node now sends its heartbeats to its own zone, as often as before, and one more to another zone with every eighth; one table comparison in eight goes to another zone. News is passed on to other zones only by the member that reports it first and by two members of each zone, selected by a hash (four, if it is about a suspect, dead or departed member), in datagrams of its own. No zone is distinguished while it has fewer than four members, or for 20 s after a third member of another zone is suspect or a zone of which many members were declared dead returns: gossip then spreads as without zones. A heartbeat to another zone without an ack leads to five more to that zone. While a zone returns, dead members are pinged every 250 ms. With one zone or none, nodes send what they sent before (OneZoneSendsTheSameAsWithoutZones).

--- a/source/core/membership/anti_entropy.cc
+++ b/source/core/membership/anti_entropy.cc
@@ -27,13 +27,13 @@
       m_is_catching_up ? m_settings.fast_sync_period : m_settings.sync_period;
   m_next_sync =
       now + FromSeconds(ToSeconds(period) * (0.75 + m_random.Fraction() / 2));
-  const Member* peer = RandomPeer();
+  const Member* peer = RandomPeerByZone();
   const bool is_far_turn =
       m_random.Index(m_settings.far_heartbeat_interval) == 0;
   for (int i = 0; i < kSameRegionAttempts && peer != nullptr && !is_far_turn &&
                   peer->region != self().region;
        ++i) {
-    peer = RandomPeer();
+    peer = RandomPeerByZone();
   }
   if (peer != nullptr) {
     SendDigest(now, peer->gossip_endpoint, peer->id, false);
--- a/source/core/membership/dissemination.cc
+++ b/source/core/membership/dissemination.cc
@@ -43,34 +43,43 @@
     writer.Add(detail::StateChange{receiver->id, receiver->incarnation,
                                    receiver->state});
   }
-  const auto write = [&](const NewsQueue::Subject& subject) {
-    using WriteResult = NewsQueue::WriteResult;
-    if (const auto* hash = std::get_if<BroadcastHash>(&subject)) {
-      const BroadcastItem* item = m_broadcasts.Find(*hash);
-      if (item == nullptr) {
-        return WriteResult::kObsolete;
-      }
-      return writer.Add(*item, m_broadcasts.Remaining(now, *hash))
-                 ? WriteResult::kSent
-                 : WriteResult::kNoRoom;
-    }
-    const Member* member = m_table.Find(std::get<NodeId>(subject));
-    if (member == nullptr) {
-      return WriteResult::kObsolete;
-    }
-    const bool is_added =
-        member->state == MemberState::kAlive
-            ? writer.Add(*member)
-            : writer.Add(detail::StateChange{member->id, member->incarnation,
-                                             member->state});
-    return is_added ? WriteResult::kSent : WriteResult::kNoRoom;
-  };
-  if (m_budget.HasAny()) {
-    m_news.Offer(TransmissionLimit(m_table.Live().size()), write);
+  // News for other zones is sent by a few members, with their heartbeats.
+  const bool carries_news = receiver == nullptr || !m_zones.IsOther(*receiver);
+  if (m_budget.HasAny() && carries_news) {
+    m_news.Offer(TransmissionLimit(m_table.Live().size()),
+                 [&](const NewsQueue::Subject& subject) {
+                   return WriteNews(now, subject, writer);
+                 });
   }
   Send(to, writer);
 }
 
+NewsQueue::WriteResult Membership::WriteNews(
+    TimePoint now,
+    const NewsQueue::Subject& subject,
+    detail::GossipWriter& writer) const {
+  using WriteResult = NewsQueue::WriteResult;
+  if (const auto* hash = std::get_if<BroadcastHash>(&subject)) {
+    const BroadcastItem* item = m_broadcasts.Find(*hash);
+    if (item == nullptr) {
+      return WriteResult::kObsolete;
+    }
+    return writer.Add(*item, m_broadcasts.Remaining(now, *hash))
+               ? WriteResult::kSent
+               : WriteResult::kNoRoom;
+  }
+  const Member* member = m_table.Find(std::get<NodeId>(subject));
+  if (member == nullptr) {
+    return WriteResult::kObsolete;
+  }
+  const bool is_added =
+      member->state == MemberState::kAlive
+          ? writer.Add(*member)
+          : writer.Add(detail::StateChange{member->id, member->incarnation,
+                                           member->state});
+  return is_added ? WriteResult::kSent : WriteResult::kNoRoom;
+}
+
 void Membership::Send(const Endpoint& to, detail::GossipWriter& writer) {
   std::string payload = writer.Take();
   ++m_counters.datagrams_sent;
@@ -105,7 +114,7 @@
   // Every datagram carries the revision. A few pings sent at once save the wait
   // for the next heartbeats, and each node sends them only once per revision.
   for (int i = 0; i < kRevisionFanout; ++i) {
-    const Member* peer = RandomPeer();
+    const Member* peer = RandomPeerByZone();
     if (peer != nullptr) {
       Ping(now, *peer, m_next_sequence++);
     }
@@ -148,6 +157,11 @@
     return;
   }
   if (was_dead && IsLive(news.state)) {
+    m_zones.OnRevived(now, news);
+    if (m_zones.IsMerging(now)) {
+      m_next_dead_ping =
+          std::min(m_next_dead_ping, now + m_settings.merging_dead_ping_period);
+    }
     // A partition has healed or a paused node has resumed: compare tables soon.
     m_next_sync = std::min(m_next_sync, now + m_settings.fast_sync_period);
   }
@@ -158,7 +172,7 @@
     // Records received by table comparison are not passed on: the sender's
     // other peers know them already, and passing on a whole table would cost
     // each node its size times the logarithm of the fleet.
-    m_news.Push(news.id);
+    PushNews(news.id, false);
     ExpediteHeartbeat(now);
   }
 }
@@ -172,7 +186,7 @@
     if (m_table.ApplyState(now, news.id, news.incarnation, news.state)) {
       OnStateChanged(now, news.id, was_live);
       if (!is_sync) {
-        m_news.Push(news.id);
+        PushNews(news.id, false);
       }
       if (!is_sync && news.state != MemberState::kSuspect) {
         ExpediteHeartbeat(now);
@@ -199,7 +213,7 @@
   }
   m_received_broadcasts.push_back(item);
   if (!is_sync) {
-    m_news.Push(hash);
+    PushNews(hash, false);
     ExpediteHeartbeat(now);
   }
 }
--- a/source/core/membership/failure_detection.cc
+++ b/source/core/membership/failure_detection.cc
@@ -26,18 +26,35 @@
   }
   ExpireOldEntries(now);
   SpreadDeparture(now);
+  UpdateZones(now);
+  SendNewsToOtherZones(now);
   const Member* subject = m_schedule.Next(m_table, m_random);
   if (subject == nullptr) {
     return;
   }
+  StartProbe(now, *subject, ProbeKind::kNormal);
+  if (!m_zones.is_active() ||
+      ++m_zone_heartbeats % m_settings.other_zone_interval != 0) {
+    return;
+  }
+  const Member* other = m_schedule.NextInOtherZones(m_table, m_random);
+  if (other != nullptr) {
+    StartProbe(now, *other, ProbeKind::kOtherZone);
+  }
+}
+
+void Membership::StartProbe(TimePoint now,
+                            const Member& subject,
+                            ProbeKind kind) {
   const std::uint32_t sequence = m_next_sequence++;
   Probe probe;
-  probe.subject = subject->id;
+  probe.subject = subject.id;
   probe.ping_requests_at = now + m_health.Stretch(m_settings.direct_timeout);
   probe.give_up_at =
       probe.ping_requests_at + m_health.Stretch(m_settings.indirect_timeout);
+  probe.kind = kind;
   m_probes.emplace(sequence, probe);
-  Ping(now, *subject, sequence);
+  Ping(now, subject, sequence);
 }
 
 void Membership::Ping(TimePoint now,
@@ -51,13 +68,18 @@
 }
 
 void Membership::CheckProbes(TimePoint now) {
+  std::vector<NodeId> silent;
   for (auto it = m_probes.begin(); it != m_probes.end();) {
     Probe& probe = it->second;
     if (!probe.has_sent_ping_requests && now >= probe.ping_requests_at) {
       SendPingRequests(it->first, probe);
       probe.next_retry = now;
+      if (probe.kind == ProbeKind::kOtherZone) {
+        silent.push_back(probe.subject);
+      }
     }
-    if (probe.has_sent_ping_requests && now >= probe.next_retry) {
+    if (probe.has_sent_ping_requests && now >= probe.next_retry &&
+        probe.kind != ProbeKind::kZoneCheck) {
       RetryProbe(now, it->first, probe);
     }
     if (now >= probe.give_up_at) {
@@ -67,6 +89,12 @@
       ++it;
     }
   }
+  for (const NodeId id : silent) {
+    const Member* subject = m_table.Find(id);
+    if (subject != nullptr) {
+      CheckZone(now, *subject);
+    }
+  }
 }
 
 void Membership::RetryProbe(TimePoint now,
@@ -103,7 +131,7 @@
     return member.zone == subject.zone;
   };
   const Predicate in_own_region = [&](const Member& member) {
-    return member.region == self().region;
+    return member.region == self().region && !m_zones.IsOther(member);
   };
   const Predicate in_subject_region = [&](const Member& member) {
     return member.region == subject.region;
@@ -137,7 +165,8 @@
 }
 
 void Membership::StartSuspicion(TimePoint now, const Probe& probe) {
-  if (probe.helpers > 0 && probe.nacks == 0) {
+  if (probe.helpers > 0 && probe.nacks == 0 &&
+      probe.kind != ProbeKind::kZoneCheck) {
     // No helper responded either, so the fault is more likely at this node.
     m_health.Worsen();
   }
@@ -148,7 +177,7 @@
   if (m_table.ApplyState(now, subject->id, subject->incarnation,
                          MemberState::kSuspect)) {
     ++m_counters.suspicions;
-    m_news.Push(subject->id);
+    PushNews(subject->id, true);
     OnStateChanged(now, subject->id, true);
   }
   Suspicion& suspicion = m_suspicions[subject->id];
@@ -206,14 +235,16 @@
   const Incarnation incarnation = m_table.Find(id)->incarnation;
   m_table.ApplyState(now, id, incarnation, MemberState::kDead);
   ++m_counters.deaths_declared;
-  m_news.Push(id);
+  PushNews(id, true);
   OnStateChanged(now, id, true);
   ExpediteHeartbeat(now);
   LogLine(LogLevel::kInfo, "membership.dead").Add("node", id);
 }
 
 void Membership::PingDead(TimePoint now) {
-  m_next_dead_ping = now + m_settings.dead_ping_period;
+  m_next_dead_ping =
+      now + (m_zones.IsMerging(now) ? m_settings.merging_dead_ping_period
+                                    : m_settings.dead_ping_period);
   const MemberTable::Pointers& dead = m_table.Dead();
   if (!dead.empty()) {
     Ping(now, *dead[m_random.Index(dead.size())], m_next_sequence++);
--- a/source/core/membership/membership.cc
+++ b/source/core/membership/membership.cc
@@ -50,6 +50,7 @@
       m_port(port),
       m_budget(settings.bytes_per_second, settings.bytes_burst, now),
       m_schedule(self.id, self.region, settings.far_heartbeat_interval),
+      m_zones(self.zone, settings.other_zone_interval > 0),
       m_newest_revision(self.revision),
       m_sync_credit(kSyncCreditBurst),
       m_next_sync(now + settings.fast_sync_period),
@@ -198,7 +199,7 @@
   changed.target = target;
   changed.incarnation = Incarnation(changed.incarnation.value() + 1);
   m_table.Apply(now, changed);
-  m_news.Push(m_self_id);
+  PushNews(m_self_id, true);
   ExpediteHeartbeat(now);
 }
 
@@ -208,7 +209,7 @@
   }
   m_lifecycle.OnLeaveRequested();
   m_table.ApplyState(now, m_self_id, self().incarnation, MemberState::kLeft);
-  m_news.Push(m_self_id);
+  PushNews(m_self_id, true);
   m_departure_rounds = kDepartureRounds;
   SpreadDeparture(now);
 }
@@ -234,7 +235,7 @@
   BroadcastHash hash;
   const bool is_new = m_broadcasts.Add(now, item, hash);
   if (is_new) {
-    m_news.Push(hash);
+    PushNews(hash, true);
     ExpediteHeartbeat(now);
   }
   return is_new || m_broadcasts.Find(hash) != nullptr;
@@ -264,6 +265,7 @@
       }
       m_table.ForgetAllBut(m_self_id);
       m_suspicions.clear();
+      UpdateZones(now);
       m_is_catching_up = true;
       Resume(now);
       Introduce(now, addresses);
@@ -309,7 +311,7 @@
       Incarnation(std::max(above, renewed.incarnation).value() + 1);
   renewed.state = MemberState::kAlive;
   m_table.Apply(now, renewed);
-  m_news.Push(m_self_id);
+  PushNews(m_self_id, true);
   ExpediteHeartbeat(now);
 }
 
@@ -328,6 +330,7 @@
   if (!was_live && IsLive(member.state)) {
     m_schedule.Add(member, m_random);
   }
+  UpdateZones(now);
 }
 
 void Membership::ExpireOldEntries(TimePoint now) {
--- a/source/core/membership/membership.h
+++ b/source/core/membership/membership.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string_view>
 #include <vector>
 
@@ -23,6 +24,7 @@
 #include "core/membership/member_table.h"
 #include "core/membership/membership_settings.h"
 #include "core/membership/news_queue.h"
+#include "core/membership/zone_preference.h"
 
 namespace bulrushmount {
 
@@ -97,6 +99,16 @@
   std::vector<BroadcastItem> TakeBroadcasts();
 
  private:
+  enum class ProbeKind : std::uint8_t {
+    kNormal,
+    // Checks other members of the subject's zone if the direct ping fails.
+    kOtherZone,
+    // One of those checks. That several fail at once is no sign of a fault at
+    // this node. The direct ping is not repeated: a suspicion costs little, and
+    // the budget is needed when the zone returns.
+    kZoneCheck,
+  };
+
   // A heartbeat that waits for its ack.
   struct Probe {
     NodeId subject;
@@ -107,6 +119,7 @@
     TimePoint next_retry;
     std::size_t helpers = 0;
     std::size_t nacks = 0;
+    ProbeKind kind = ProbeKind::kNormal;
   };
 
   // A ping sent on behalf of another member.
@@ -141,8 +154,27 @@
   const Member* RandomPeer();
   void SpreadDeparture(TimePoint now);
 
+  // zones.cc
+  void UpdateZones(TimePoint now);
+  // Queues news for the next datagrams, and for other zones if this node
+  // reports it first or is one of its carriers.
+  void PushNews(const NewsQueue::Subject& subject, bool is_first_report);
+  bool IsCarrier(const NewsQueue::Subject& subject) const;
+  void SendNewsToOtherZones(TimePoint now);
+  void SendNewsToZone(TimePoint now,
+                      const AvailabilityZone& zone,
+                      const std::set<NewsQueue::Subject>& subjects);
+  bool IsNewsForZone(const AvailabilityZone& zone,
+                     const NewsQueue::Subject& subject) const;
+  const Member* RandomMemberOf(const AvailabilityZone& zone);
+  // A random peer of this node's zone, or one in n times of another zone. Any
+  // peer if zones are not distinguished.
+  const Member* RandomPeerByZone();
+  void CheckZone(TimePoint now, const Member& silent);
+
   // failure_detection.cc
   void Heartbeat(TimePoint now);
+  void StartProbe(TimePoint now, const Member& subject, ProbeKind kind);
   void Ping(TimePoint now, const Member& subject, std::uint32_t sequence);
   void CheckProbes(TimePoint now);
   void RetryProbe(TimePoint now, std::uint32_t sequence, Probe& probe);
@@ -166,6 +198,9 @@
                     const Endpoint& to,
                     NodeId to_id,
                     detail::GossipWriter& writer);
+  NewsQueue::WriteResult WriteNews(TimePoint now,
+                                   const NewsQueue::Subject& subject,
+                                   detail::GossipWriter& writer) const;
   void Send(const Endpoint& to, detail::GossipWriter& writer);
   void ProcessNews(TimePoint now, const gossip::Gossip& in);
   void ProcessRecord(TimePoint now, const Member& news, bool is_sync);
@@ -201,7 +236,12 @@
   LocalHealth m_health;
   ByteBudget m_budget;
   HeartbeatSchedule m_schedule;
+  ZonePreference m_zones;
   NewsQueue m_news;
+  // News that this node sends to each other zone with its next heartbeat.
+  std::set<NewsQueue::Subject> m_news_for_zones;
+  std::size_t m_zone_heartbeats = 0;
+  TimePoint m_next_zone_check;
   BroadcastStore m_broadcasts;
   std::vector<BroadcastItem> m_received_broadcasts;
   Revision m_newest_revision;
--- a/source/core/membership/membership_settings.h
+++ b/source/core/membership/membership_settings.h
@@ -30,6 +30,20 @@
   int bystander_factor = 2;
   // Every nth heartbeat goes to another region.
   std::size_t far_heartbeat_interval = 5;
+  // A node that distinguishes availability zones sends heartbeats to its own
+  // zone, as often as without zones, and one more to another zone with every
+  // nth of them. One in n table comparisons goes to another zone. 0: zones are
+  // not distinguished.
+  std::size_t other_zone_interval = 8;
+  // Number of members per zone that pass a piece of news on to other zones, in
+  // addition to the one that reports it first. Two, so that one may be lost; as
+  // many again for reports of suspect, dead and departed members.
+  std::size_t news_carriers = 2;
+  // When a heartbeat to another zone gets no ack within the direct timeout,
+  // this many other members of that zone get one at once: the whole zone may be
+  // unreachable. Not more often than once per interval.
+  std::size_t zone_check_heartbeats = 5;
+  Duration zone_check_interval = std::chrono::seconds(1);
   // News other than a suspicion brings the next heartbeat forward to this
   // delay, while the byte budget has a reserve.
   Duration expedited_heartbeat_delay = std::chrono::milliseconds(100);
@@ -44,6 +58,8 @@
   // Interval at which one dead member is pinged, so that the parts of a healed
   // partition merge.
   Duration dead_ping_period = std::chrono::seconds(2);
+  // The same while an availability zone returns.
+  Duration merging_dead_ping_period = std::chrono::milliseconds(250);
   // How long tombstones are kept.
   Duration left_tombstone_age = std::chrono::minutes(10);
   Duration dead_tombstone_age = std::chrono::hours(1);
--- a/source/unit_tests/core/membership/member_network.cc
+++ b/source/unit_tests/core/membership/member_network.cc
@@ -9,6 +9,9 @@
 
 namespace {
 
+// IP and UDP headers and the byte of the datagram's kind.
+constexpr std::size_t kHeaderBytes = 29;
+
 constexpr std::size_t kSocketBuffer = 200;
 constexpr int kLocalLatencyDivisor = 40;
 constexpr Duration kPollInterval = std::chrono::milliseconds(50);
@@ -107,6 +110,11 @@
                                DatagramKind kind,
                                std::string payload) {
   const std::size_t receiver = to.port - NetworkEndpoint(0).port;
+  const std::size_t bytes = payload.size() + kHeaderBytes;
+  network->m_bytes_sent += bytes;
+  if (receiver < network->size() && network->zone(receiver) != zone) {
+    network->m_bytes_between_zones += bytes;
+  }
   if (receiver >= network->size() || network->IsLost(number, receiver)) {
     return;
   }
--- a/source/unit_tests/core/membership/member_network.h
+++ b/source/unit_tests/core/membership/member_network.h
@@ -48,6 +48,12 @@
   void SetFarLatency(Duration latency) { m_far_latency = latency; }
 
   Membership& at(std::size_t node) { return *m_nodes[node]->membership; }
+  const std::string& zone(std::size_t node) const {
+    return m_nodes[node]->zone;
+  }
+  // Sent since the start, in all and to other zones, with IP and UDP headers.
+  std::size_t bytes_sent() const { return m_bytes_sent; }
+  std::size_t bytes_between_zones() const { return m_bytes_between_zones; }
   NodeId id(std::size_t node) const { return NodeId(node + 1); }
   std::size_t size() const { return m_nodes.size(); }
   bool IsUp(std::size_t node) const { return m_nodes[node]->is_up; }
@@ -88,6 +94,8 @@
   SeededRandomSource m_random;
   VirtualTime m_time;
   double m_loss = 0;
+  std::size_t m_bytes_sent = 0;
+  std::size_t m_bytes_between_zones = 0;
   Duration m_far_latency = std::chrono::milliseconds(20);
   std::set<std::pair<std::size_t, std::size_t>> m_broken_paths;
   std::vector<std::unique_ptr<Node>> m_nodes;
