Count the bytes sent to other nodes by cause and zone distance

Bytes between availability zones are the most expensive resource of a fleet in several zones, and nothing showed what they were spent on.

Datagrams are counted by kind with IP and UDP headers; the frames of a stream are summed in the stream and counted when it ends, since only then it is known whether the owner refused the attempt. The distance is looked up once for each session, and for each datagram in a table by endpoint.

--- a/source/core/node_logic/node.h
+++ b/source/core/node_logic/node.h
@@ -29,6 +29,7 @@
 #include "core/quarantine/quarantine.h"
 #include "core/reporting/call_recorder.h"
 #include "core/reporting/metrics_page.h"
+#include "core/reporting/peer_traffic.h"
 #include "core/reporting/traffic_metrics.h"
 #include "core/routes/route_document.h"
 #include "core/routes/route_table.h"
@@ -55,6 +56,7 @@
   std::string MetricsText(TimePoint now) const;
   BurnReport BurnSnapshot(TimePoint now) { return m_recorder.Snapshot(now); }
   std::vector<Endpoint> PeerStreams() const;
+  PeerTraffic& traffic() { return m_traffic; }
 
  private:
   const Member* FindOwner(NodeId node) const override;
@@ -128,6 +130,7 @@
   TimePoint m_event_time;
   ActionQueue m_actions;
   TablePort m_table;
+  PeerTraffic m_traffic;
   DatagramActions m_datagrams;
 
   Membership m_membership;
--- a/source/core/node_logic/node_logic.cc
+++ b/source/core/node_logic/node_logic.cc
@@ -41,6 +41,10 @@
   return m_node->StatusJson(now);
 }
 
+PeerTraffic* NodeLogic::traffic() {
+  return &m_node->traffic();
+}
+
 std::string NodeLogic::MetricsText(TimePoint now) const {
   return m_node->MetricsText(now);
 }
--- a/source/core/node_logic/node_logic.h
+++ b/source/core/node_logic/node_logic.h
@@ -43,6 +43,7 @@
   TimePoint NextWakeup() const override;
   bool IsRepeatable(const CallHead& head) const override;
   bool IsReady() const override;
+  PeerTraffic* traffic() override;
 
   // Content of the `/status` page: the state of this node and its view of the
   // fleet.
--- a/source/core/node_logic/node_logic_interface.h
+++ b/source/core/node_logic/node_logic_interface.h
@@ -12,6 +12,8 @@
 
 namespace bulrushmount {
 
+class PeerTraffic;
+
 class NodeLogicInterface {
  public:
   virtual ~NodeLogicInterface() = default;
@@ -30,6 +32,10 @@
 
   // Whether this node accepts calls; shown on the `/ready` page.
   virtual bool IsReady() const = 0;
+
+  // Where the transport counts the bytes that it sends to other nodes; null if
+  // they are not counted. Lives as long as this object.
+  virtual PeerTraffic* traffic() { return nullptr; }
 };
 
 }  // namespace bulrushmount
--- a/source/core/node_logic/node_pages.cc
+++ b/source/core/node_logic/node_pages.cc
@@ -89,6 +89,21 @@
                "Members suspected by this node.", gossip.suspicions);
 }
 
+void AddTraffic(MetricsRegistry& registry, const PeerTraffic& traffic) {
+  for (std::size_t cause = 0; cause < kTrafficCauses; ++cause) {
+    for (std::size_t distance = 0; distance < kZoneDistances; ++distance) {
+      const auto cause_kind = static_cast<TrafficCause>(cause);
+      const auto distance_kind = static_cast<ZoneDistance>(distance);
+      registry
+          .GetCounter("bulrushmount_sent_bytes_total",
+                      "Sent to other nodes, by cause and distance.",
+                      {{"cause", std::string(ToToken(cause_kind))},
+                       {"distance", std::string(ToToken(distance_kind))}})
+          .RaiseTo(traffic.Bytes(cause_kind, distance_kind));
+    }
+  }
+}
+
 void AddClaims(MetricsRegistry& registry, const ClaimStats& claims) {
   RaiseCounter(registry, "bulrushmount_claims_granted_total", "Keys claimed.",
                claims.granted);
@@ -177,6 +192,7 @@
   AddClaims(registry, m_claims.stats());
   RaiseCounter(registry, "bulrushmount_probes_total",
                "Probes of the target beside.", m_probes_sent);
+  AddTraffic(registry, m_traffic);
   return registry.Page();
 }
 
--- a/source/core/node_logic/node_updates.cc
+++ b/source/core/node_logic/node_updates.cc
@@ -87,6 +87,13 @@
         .Add("member", ToHex(member.id))
         .Add("state", ToToken(member.state));
   }
+  if (change.kind == MemberChangeKind::kForgotten) {
+    m_traffic.RemovePeer(member.id, member.stream_endpoint,
+                         member.gossip_endpoint);
+  } else if (IsLive(member.state)) {
+    m_traffic.SetPeer(member.id, member.stream_endpoint, member.gossip_endpoint,
+                      DistanceOf(m_settings, member));
+  }
   UpdateConfigSync(now, member);
   UpdateRouter(now, member, change.kind == MemberChangeKind::kForgotten);
 }
--- a/source/core/node_logic/ports.cc
+++ b/source/core/node_logic/ports.cc
@@ -6,6 +6,13 @@
 
 namespace bulrushmount::detail {
 
+namespace {
+
+// IP and UDP headers of a datagram.
+constexpr std::size_t kUdpHeaderBytes = 28;
+
+}  // namespace
+
 void TablePort::Submit(TableRequest request, Callback callback) {
   const TableRequestId id(++m_last_id);
   m_waiting.emplace(id, std::move(callback));
@@ -25,6 +32,8 @@
                            DatagramKind kind,
                            std::string payload) {
   payload.insert(payload.begin(), static_cast<char>(kind));
+  m_traffic.Add(CauseOf(kind), m_traffic.DistanceOf(to),
+                payload.size() + kUdpHeaderBytes);
   m_actions.Push(SendDatagram{to, std::move(payload)});
 }
 
--- a/source/core/node_logic/ports.h
+++ b/source/core/node_logic/ports.h
@@ -16,6 +16,7 @@
 #include "core/node_logic/actions.h"
 #include "core/pipeline/dispatcher.h"
 #include "core/quarantine/broadcast_port.h"
+#include "core/reporting/peer_traffic.h"
 #include "core/store/table_service.h"
 
 namespace bulrushmount::detail {
@@ -50,7 +51,9 @@
 
 class DatagramActions : public DatagramPort {
  public:
-  explicit DatagramActions(ActionSink& actions) : m_actions(actions) {}
+  // Both must outlive the object.
+  DatagramActions(ActionSink& actions, PeerTraffic& traffic)
+      : m_actions(actions), m_traffic(traffic) {}
 
   void Send(const Endpoint& to,
             DatagramKind kind,
@@ -58,6 +61,7 @@
 
  private:
   ActionSink& m_actions;
+  PeerTraffic& m_traffic;
 };
 
 // Sends broadcasts of the quarantine with the gossip of the membership.
--- a/source/core/transport/node_driver.cc
+++ b/source/core/transport/node_driver.cc
@@ -59,6 +59,8 @@
       m_exit_timer(context),
       m_leave_timer(context) {
   AddPages();
+  m_client.CountTo(logic.traffic());
+  m_streams.CountTo(logic.traffic());
 }
 
 NodeDriver::~NodeDriver() = default;
--- a/source/core/transport/peers/http2_session.cc
+++ b/source/core/transport/peers/http2_session.cc
@@ -20,6 +20,8 @@
 
 constexpr std::uint32_t kMaxStreams = 4096;
 
+constexpr std::size_t kFrameHeadBytes = 9;
+
 // All streams share the connection's flow-control window. It is so large that
 // only the windows of the streams limit them, since otherwise one slow reader
 // would block the other streams.
@@ -77,6 +79,7 @@
   nghttp2_session_callbacks_set_on_frame_recv_callback(callbacks, &OnFrame);
   nghttp2_session_callbacks_set_before_frame_send_callback(callbacks,
                                                            &OnBeforeSend);
+  nghttp2_session_callbacks_set_on_frame_send_callback(callbacks, &OnFrameSent);
   nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks,
                                                             &OnDataChunk);
   nghttp2_session_callbacks_set_on_stream_close_callback(callbacks,
@@ -130,6 +133,7 @@
   m_tick_timer.cancel();
   const auto streams = std::exchange(m_streams, {});
   for (const auto& [id, stream] : streams) {
+    CountStream(*stream);
     stream->OnClose(NGHTTP2_INTERNAL_ERROR);
   }
   OnSessionClosed();
@@ -411,6 +415,37 @@
   return 0;
 }
 
+int Http2Session::OnFrameSent(nghttp2_session*,
+                              const nghttp2_frame* frame,
+                              void* user_data) {
+  auto* const self = static_cast<Http2Session*>(user_data);
+  if (self->m_traffic == nullptr) {
+    return 0;
+  }
+  const std::size_t bytes = frame->hd.length + kFrameHeadBytes;
+  const auto stream = self->Find(frame->hd.stream_id);
+  if (stream) {
+    // The cause is known when the stream ends.
+    stream->AddSentBytes(bytes);
+  } else {
+    self->CountSent(bytes, TrafficCause::kOther);
+  }
+  return 0;
+}
+
+void Http2Session::CountSent(std::size_t bytes, TrafficCause cause) {
+  if (m_traffic != nullptr && m_distance) {
+    m_traffic->Add(cause, *m_distance, bytes);
+  }
+}
+
+void Http2Session::CountStream(Http2Stream& stream) {
+  const TrafficCause cause =
+      m_side == Side::kClient ? TrafficCause::kRequest : TrafficCause::kAnswer;
+  CountSent(stream.TakeSentBytes(),
+            stream.is_refused() ? TrafficCause::kRefusedAttempt : cause);
+}
+
 int Http2Session::OnDataChunk(nghttp2_session*,
                               std::uint8_t,
                               std::int32_t stream_id,
@@ -434,6 +469,7 @@
   const auto stream = self->Find(stream_id);
   if (stream) {
     self->m_streams.erase(stream_id);
+    self->CountStream(*stream);
     stream->OnClose(error_code);
   }
   return 0;
--- a/source/core/transport/peers/http2_session.h
+++ b/source/core/transport/peers/http2_session.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -17,6 +18,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "core/reporting/peer_traffic.h"
 #include "core/transport/peers/header_indexing.h"
 #include "core/transport/peers/header_packing.h"
 #include "core/transport/peers/http2_stream.h"
@@ -34,6 +36,12 @@
   // Closes the connection. Open streams end with an error.
   void Close();
 
+  // Counts the bytes sent from now on. `traffic` must outlive the session. The
+  // bytes of streams that belong to no request are counted as `kOther`.
+  void CountTo(PeerTraffic* traffic) { m_traffic = traffic; }
+  // Bytes are counted once the distance of the peer is known.
+  void SetDistance(ZoneDistance distance) { m_distance = distance; }
+
   // Whether the socket has accepted all bytes.
   bool is_flushed() const;
   bool is_closed() const { return m_is_closed; }
@@ -86,6 +94,7 @@
                       void*);
   static int OnFrame(nghttp2_session*, const nghttp2_frame*, void*);
   static int OnBeforeSend(nghttp2_session*, const nghttp2_frame*, void*);
+  static int OnFrameSent(nghttp2_session*, const nghttp2_frame*, void*);
   static int OnDataChunk(nghttp2_session*,
                          std::uint8_t flags,
                          std::int32_t stream_id,
@@ -105,6 +114,8 @@
   void OnTick();
   void ReportSilence();
   void DiscardUnsentOnClose();
+  void CountSent(std::size_t bytes, TrafficCause cause);
+  void CountStream(Http2Stream& stream);
   void OnSettings(const nghttp2_settings& settings);
 
   boost::asio::ip::tcp::socket m_socket;
@@ -127,6 +138,9 @@
   // Ticks since the last stream ended.
   int m_idle_ticks = 0;
   Side m_side = Side::kClient;
+  // Null: bytes are not counted.
+  PeerTraffic* m_traffic = nullptr;
+  std::optional<ZoneDistance> m_distance;
   // For the heads that this node sends.
   HeaderIndexing m_indexing;
   // Whether the peer has announced that it reads packed heads.
--- a/source/core/transport/peers/http2_stream.h
+++ b/source/core/transport/peers/http2_stream.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include <nghttp2/nghttp2.h>
 
@@ -67,6 +68,13 @@
   void SetHeadSent() { m_is_head_sent = true; }
   bool is_closed() const { return m_is_closed; }
 
+  // Bytes of the frames sent on this stream.
+  void AddSentBytes(std::size_t bytes) { m_sent_bytes += bytes; }
+  std::size_t TakeSentBytes() { return std::exchange(m_sent_bytes, 0); }
+  // The owner has refused the request.
+  void SetRefused() { m_is_refused = true; }
+  bool is_refused() const { return m_is_refused; }
+
   // False if the stream exceeds the limits for its heads.
   [[nodiscard]] bool AddField(std::string_view name, std::string_view value);
   HeaderList TakeFields() { return std::move(m_fields); }
@@ -100,6 +108,8 @@
   // Totals of all received fields, including those already taken.
   std::size_t m_field_bytes = 0;
   std::size_t m_field_count = 0;
+  std::size_t m_sent_bytes = 0;
+  bool m_is_refused = false;
   bool m_is_head_sent = false;
   bool m_is_closed = false;
 
--- a/source/core/transport/peers/node_stream_client.cc
+++ b/source/core/transport/peers/node_stream_client.cc
@@ -59,6 +59,7 @@
       m_stream->Abort();
       listener->OnLost(false, Reason::kNodeLost);
     } else if (reply->verdict == OwnerVerdict::kRefused) {
+      m_stream->SetRefused();
       listener->OnRefused(reply->reason, reply->load);
     } else if (reply->verdict == OwnerVerdict::kFailed) {
       listener->OnFailed(reply->reason, reply->load);
@@ -219,6 +220,10 @@
   std::shared_ptr<NodeClientSession> session = m_sessions[endpoint];
   if (!session || !session->is_usable()) {
     session = std::make_shared<NodeClientSession>(m_executor);
+    if (m_traffic != nullptr) {
+      session->CountTo(m_traffic);
+      session->SetDistance(m_traffic->DistanceOf(endpoint));
+    }
     session->Connect(endpoint);
     m_sessions[endpoint] = session;
     DropUnusable();
--- a/source/core/transport/peers/node_stream_client.h
+++ b/source/core/transport/peers/node_stream_client.h
@@ -10,6 +10,7 @@
 #include <boost/asio/any_io_executor.hpp>
 
 #include "core/common/endpoint.h"
+#include "core/reporting/peer_traffic.h"
 #include "core/transport/peers/node_stream.h"
 
 namespace bulrushmount {
@@ -30,6 +31,10 @@
                                       const WorkRequest& request,
                                       AttemptListener* listener);
 
+  // Counts the bytes of sessions that are opened from now on. `traffic` must
+  // outlive them.
+  void CountTo(PeerTraffic* traffic) { m_traffic = traffic; }
+
   // The number of sessions being connected or not yet known to have ended.
   std::size_t sessions() const { return m_sessions.size(); }
 
@@ -42,6 +47,7 @@
   void DropUnusable();
 
   boost::asio::any_io_executor m_executor;
+  PeerTraffic* m_traffic = nullptr;
   // Sessions that accept new streams or are being connected.
   std::unordered_map<Endpoint, std::shared_ptr<NodeClientSession>> m_sessions;
 };
--- a/source/core/transport/peers/node_stream_server.cc
+++ b/source/core/transport/peers/node_stream_server.cc
@@ -86,7 +86,18 @@
   NodeServerSession(tcp::socket socket, WorkAcceptor& acceptor)
       : Http2Session(std::move(socket)), m_acceptor(acceptor) {}
 
-  void Start() { Open(Side::kServer); }
+  void Start(PeerTraffic* traffic) {
+    m_traffic = traffic;
+    CountTo(traffic);
+    Open(Side::kServer);
+  }
+
+  // The peer is known from its first request: its address has another port.
+  void SetPeer(NodeId entry) {
+    if (m_traffic != nullptr) {
+      SetDistance(m_traffic->DistanceOf(entry));
+    }
+  }
 
   void Drain() {
     if (is_closed()) {
@@ -142,6 +153,7 @@
   }
 
   WorkAcceptor& m_acceptor;
+  PeerTraffic* m_traffic = nullptr;
   // The requests whose streams are open.
   std::vector<std::shared_ptr<ServerWork>> m_works;
   bool m_is_draining = false;
@@ -159,6 +171,7 @@
   }
   m_request = std::move(*request);
   if (session) {
+    session->SetPeer(m_request.work.entry);
     session->PassToAcceptorLater(weak_from_this());
   }
 }
@@ -181,6 +194,9 @@
 }
 
 void ServerWork::Reply(const OwnerReply& reply, bool has_body) {
+  if (reply.verdict == OwnerVerdict::kRefused) {
+    m_stream->SetRefused();
+  }
   if (const auto session = m_session.lock()) {
     session->Respond(*m_stream, EncodeReply(reply), has_body);
   }
@@ -212,7 +228,7 @@
     auto session =
         std::make_shared<NodeServerSession>(std::move(socket), m_acceptor);
     m_sessions.push_back(session);
-    session->Start();
+    session->Start(m_traffic);
     if (m_is_draining) {
       session->Drain();
     }
--- a/source/core/transport/peers/node_stream_server.h
+++ b/source/core/transport/peers/node_stream_server.h
@@ -10,6 +10,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include "core/common/endpoint.h"
+#include "core/reporting/peer_traffic.h"
 #include "core/transport/peers/node_stream.h"
 
 namespace bulrushmount {
@@ -33,6 +34,10 @@
   // processed; streams in progress continue.
   void Drain();
 
+  // Counts the bytes of sessions that are accepted from now on. `traffic` must
+  // outlive them.
+  void CountTo(PeerTraffic* traffic) { m_traffic = traffic; }
+
   // Whether all streams have ended and all bytes are written to the sockets.
   bool IsIdle() const;
 
@@ -42,6 +47,7 @@
   void Accept();
 
   WorkAcceptor& m_acceptor;
+  PeerTraffic* m_traffic = nullptr;
   boost::asio::ip::tcp::acceptor m_listener;
   std::vector<std::weak_ptr<NodeServerSession>> m_sessions;
   bool m_is_draining = false;
--- a/source/unit_tests/core/node_logic/node_logic_test.cc
+++ b/source/unit_tests/core/node_logic/node_logic_test.cc
@@ -110,6 +110,20 @@
   EXPECT_TRUE(fleet->RunUntil(knows, std::chrono::seconds(1)));
 }
 
+// Guards against datagrams that are not counted, or as of the same zone.
+TEST_F(NodeLogicTest, CountsTheBytesOfDatagramsByCauseAndDistance) {
+  const auto fleet = MakeFleet(4, 1);
+  const std::string page = fleet->logic(0).MetricsText(fleet->now());
+  for (const char* const distance : {"same-zone", "other-zone"}) {
+    const std::string series =
+        "bulrushmount_sent_bytes_total{cause=\"membership\",distance=\"" +
+        std::string(distance) + "\"} ";
+    const std::size_t at = page.find(series);
+    ASSERT_NE(at, std::string::npos) << distance;
+    EXPECT_GT(std::stoul(page.substr(at + series.size())), 1000U) << distance;
+  }
+}
+
 TEST_F(NodeLogicTest, AnswersCallsAtEveryEntry) {
   const auto fleet = MakeFleet(3, 1);
   for (std::size_t entry = 0; entry < fleet->size(); ++entry)
