--- a/source/core/node_logic/node.h
+++ b/source/core/node_logic/node.h
@@ -29,6 +29,7 @@
 #include "core/quarantine/quarantine.h"
 #include "core/reporting/call_recorder.h"
 #include "core/reporting/metrics_page.h"
+#include "core/reporting/peer_traffic.h"
 #include "core/reporting/traffic_metrics.h"
 #include "core/reporting/workspace_metrics.h"
 #include "core/reporting/workspace_report.h"
@@ -59,6 +60,7 @@
   BurnReport BurnSnapshot(TimePoint now) { return m_recorder.Snapshot(now); }
   std::vector<Endpoint> PeerStreams() const;
   WorkspaceReport WorkspaceSnapshot(TimePoint now) const;
+  PeerTraffic& traffic() { return m_traffic; }
 
  private:
   const Member* FindOwner(NodeId node) const override;
@@ -133,6 +135,7 @@
   TimePoint m_event_time;
   ActionQueue m_actions;
   TablePort m_table;
+  PeerTraffic m_traffic;
   DatagramActions m_datagrams;
 
   Membership m_membership;
