Derive the Retry-After of an overloaded owner from its queue

Cause: a refusal for lack of capacity names 250 to 500 ms whatever the target. Callers of targets with requests of 400 ms are refused again and again until their time is over. A caller honours a Retry-After up to a third of its remaining time, so nested calls with 500 ms never retry, although capacity is free after some 50 ms.

Change: the load report that comes with the refusal gives the time until the owner can start a new request, from its queue, and at least 250 ms if the target is disturbed. Without a report, and for other reasons, the constant stays.

--- a/source/core/node_logic/entry_side.cc
+++ b/source/core/node_logic/entry_side.cc
@@ -73,9 +73,9 @@
     return;
   m_last_arrival = now;
   if (now >= m_refuse_from) {
-    m_parts.actions.Push(AnswerCaller{event.call, Outcome::kNotRun,
-                                      Reason::kDraining,
-                                      RetryAfterFor(Reason::kDraining)});
+    m_parts.actions.Push(AnswerCaller{
+        event.call, Outcome::kNotRun, Reason::kDraining,
+        RetryAfterFor(Reason::kDraining, LoadReport(), Duration::zero())});
     return;
   }
   m_pipeline.Start(now, event.call, std::move(event.head));
@@ -106,7 +106,7 @@
 }
 
 void EntrySide::OnCallEnded(TimePoint now, Call& call, const CallEnd& end) {
-  Answer(call, end);
+  Answer(now, call, end);
   Record(now, call, end);
 }
 
@@ -136,7 +136,7 @@
 
 // The only place that sends a final answer to a caller, except for complete
 // answers relayed from a target.
-void EntrySide::Answer(const Call& call, const CallEnd& end) {
+void EntrySide::Answer(TimePoint now, const Call& call, const CallEnd& end) {
   if (end.is_replay) {
     m_parts.actions.Push(ReplayAnswer{
         call.id, end.answer.status, end.answer.content_type, end.answer.body});
@@ -147,14 +147,17 @@
   if (call.answer_begun_at)
     m_parts.actions.Push(AbortAnswer{call.id});
   else
-    m_parts.actions.Push(AnswerCaller{call.id, end.outcome, end.reason,
-                                      RetryAfterFor(end.reason)});
+    m_parts.actions.Push(AnswerCaller{
+        call.id, end.outcome, end.reason,
+        RetryAfterFor(end.reason, call.last_load, call.deadline - now)});
 }
 
-std::optional<Duration> EntrySide::RetryAfterFor(Reason reason) const {
+std::optional<Duration> EntrySide::RetryAfterFor(Reason reason,
+                                                 const LoadReport& load,
+                                                 Duration left) const {
   if (!m_has_retry_after_policy)
     return std::nullopt;
-  return DrawRetryAfter(reason, m_parts.random);
+  return DrawRetryAfter(reason, load, left, m_parts.random);
 }
 
 void EntrySide::Record(TimePoint now, const Call& call, const CallEnd& end) {
--- a/source/core/node_logic/entry_side.h
+++ b/source/core/node_logic/entry_side.h
@@ -80,8 +80,10 @@
 
   void AddFilters(const NodeSettings& settings);
   // Retry-After of a refusal; empty: the default of the reason.
-  std::optional<Duration> RetryAfterFor(Reason reason) const;
-  void Answer(const Call& call, const CallEnd& end);
+  std::optional<Duration> RetryAfterFor(Reason reason,
+                                        const LoadReport& load,
+                                        Duration left) const;
+  void Answer(TimePoint now, const Call& call, const CallEnd& end);
   void Record(TimePoint now, const Call& call, const CallEnd& end);
 
   Parts m_parts;
--- a/source/unit_tests/core/admission/fair_load_test.cc
+++ b/source/unit_tests/core/admission/fair_load_test.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cmath>
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -11,6 +12,7 @@
 
 #include "core/admission/admission.h"
 #include "core/admission/ranked_queue.h"
+#include "core/pipeline/retry_after_policy.h"
 #include "unit_tests/core/admission/owner_load.h"
 
 namespace bulrushmount {
@@ -337,5 +339,55 @@
                            return std::string(info.param.name);
                          });
 
+struct RetryLoad {
+  const char* name;
+  SentKind kind;
+  // Maximum part of the requests refused after an eighth of their objective.
+  double most_held;
+};
+
+class RetryLoadTest : public ::testing::TestWithParam<RetryLoad> {};
+
+// Guards against callers that come back at a constant time: at slow targets
+// they are refused again and again until their time is over, and at fast ones
+// they lose time in which they would be served.
+TEST_P(RetryLoadTest, CallersComeBackWhenCapacityIsFree) {
+  constexpr double overload = 1.4;
+  OwnerLoad load;
+  Sender sender;
+  sender.workspace = "a";
+  sender.kind = GetParam().kind;
+  sender.per_second = overload * load.slots / ToSeconds(sender.kind.takes);
+  sender.ends = 8s;
+  load.senders = {sender};
+  load.retry_after = [](const LoadReport&, Duration, RandomSource& random) {
+    return std::optional<Duration>(
+        FromSeconds(0.25 * (1.0 + random.Fraction())));
+  };
+  const SenderTally constant = Replay(load).front();
+  load.retry_after = [](const LoadReport& report, Duration left,
+                        RandomSource& random) {
+    return DrawRetryAfter(Reason::kOverloaded, report, left, random);
+  };
+  const SenderTally expected = Replay(load).front();
+  EXPECT_LE(expected.refused_late, GetParam().most_held * expected.sent)
+      << expected.refused_late << ", constant " << constant.refused_late;
+  EXPECT_GE(expected.in_time, 0.99 * constant.in_time)
+      << expected.in_time << ", constant " << constant.in_time;
+  EXPECT_GE(expected.answered(), 0.99 * constant.answered())
+      << expected.answered() << ", constant " << constant.answered();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Loads,
+    RetryLoadTest,
+    ::testing::Values(RetryLoad{"BalanceChecks", kBalance, 0.06},
+                      RetryLoad{"Debits", kDebit, 0.06},
+                      RetryLoad{"Statements", kStatement, 0.01},
+                      RetryLoad{"StatementsWithMoreTime",
+                                {"statement", 400ms, 2000ms, 3000ms},
+                                0.01}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 }  // namespace
 }  // namespace bulrushmount
--- a/source/unit_tests/core/admission/owner_load.cc
+++ b/source/unit_tests/core/admission/owner_load.cc
@@ -7,6 +7,8 @@
 #include <memory>
 #include <utility>
 
+#include "core/admission/start_estimate.h"
+
 namespace bulrushmount::testing {
 
 namespace {
@@ -16,6 +18,7 @@
 constexpr Duration kStep = 1ms;
 constexpr Duration kDisturbancePeriod = 500ms;
 constexpr double kHeldFraction = 1.0 / 8;
+constexpr double kHonouredFraction = 1.0 / 3;
 
 }  // namespace
 
@@ -34,6 +37,7 @@
     : m_load(std::move(load)),
       m_random(m_load.seed),
       m_times(m_load.seed + 1),
+      m_retry_times(m_load.seed + 2),
       m_admission(m_load.settings, std::make_unique<FixedLimit>()),
       m_tallies(m_load.senders.size()) {
   m_admission.SetTarget(m_now, m_load.slots, 220);
@@ -43,9 +47,10 @@
 
 const std::vector<SenderTally>& OwnerLoadReplay::Run(Duration length) {
   const TimePoint end = m_now + length;
-  while (m_now < end || !m_sent.empty()) {
+  while (m_now < end || !m_sent.empty() || !m_retries.empty()) {
     Disturb();
     EndDue();
+    RetryDue();
     if (m_now < end)
       SendDue();
     if (m_admission.NextWakeup() && *m_admission.NextWakeup() <= m_now)
@@ -80,26 +85,66 @@
   ++m_last_group;
   ++m_tallies[index].groups;
   for (std::size_t count = 0; count < sender.together; ++count) {
-    AdmissionRequest request;
-    request.workspace = WorkspaceName(sender.workspace);
-    request.kind = KindName(sender.kind.name);
-    request.rank = sender.rank;
-    request.share = sender.share;
-    request.time_left = sender.kind.deadline;
-    request.objective_left = sender.kind.objective;
-    request.is_last_attempt = true;
-    request.is_nested = sender.is_nested;
-    const WorkId work(++m_last_work);
-    m_sent[work] = {index, m_last_group, m_now};
     ++m_tallies[index].sent;
-    Note(m_admission.Arrive(m_now, work, request));
+    SendAttempt({index, m_last_group, m_now, m_now});
+  }
+}
+
+void OwnerLoadReplay::SendAttempt(const Sent& sent) {
+  const Sender& sender = m_load.senders[sent.sender];
+  const Duration elapsed = m_now - sent.first_at;
+  AdmissionRequest request;
+  request.workspace = WorkspaceName(sender.workspace);
+  request.kind = KindName(sender.kind.name);
+  request.rank = sender.rank;
+  request.share = sender.share;
+  request.time_left = sender.kind.deadline - elapsed;
+  request.objective_left = sender.kind.objective - elapsed;
+  request.is_last_attempt = true;
+  request.is_nested = sender.is_nested;
+  const WorkId work(++m_last_work);
+  m_sent[work] = sent;
+  Note(m_admission.Arrive(m_now, work, request));
+}
+
+void OwnerLoadReplay::RetryDue() {
+  while (!m_retries.empty() && m_retries.begin()->first <= m_now) {
+    Sent sent = m_retries.begin()->second;
+    m_retries.erase(m_retries.begin());
+    sent.at = m_now;
+    SendAttempt(sent);
   }
 }
 
+bool OwnerLoadReplay::Retry(const Sent& sent) {
+  const SentKind& kind = m_load.senders[sent.sender].kind;
+  const Duration left = kind.deadline - (m_now - sent.first_at);
+  if (!m_load.retry_after || left <= Duration::zero())
+    return false;
+  const auto after = m_load.retry_after(Report(), left, m_retry_times);
+  if (!after || ToSeconds(*after) > kHonouredFraction * ToSeconds(left))
+    return false;
+  m_retries.emplace(m_now + *after, sent);
+  return true;
+}
+
+LoadReport OwnerLoadReplay::Report() const {
+  LoadReport report = m_admission.load();
+  report.slowdown = EstimateSlowdown({.in_flight = report.in_flight,
+                                      .queued = report.queued,
+                                      .limit = report.limit,
+                                      .slots = m_load.slots,
+                                      .reported_slowdown = m_slowdown,
+                                      .is_reported = true});
+  return report;
+}
+
 void OwnerLoadReplay::Note(const AdmissionOutput& output) {
   for (const AdmissionRefusal& refusal : output.refuse) {
     const Sent sent = m_sent.at(refusal.work);
     m_sent.erase(refusal.work);
+    if (Retry(sent))
+      continue;
     const SentKind& kind = m_load.senders[sent.sender].kind;
     const bool is_held =
         ToSeconds(m_now - sent.at) > kHeldFraction * ToSeconds(kind.objective);
@@ -122,7 +167,7 @@
     const Sent sent = m_sent.at(work);
     m_sent.erase(work);
     const SentKind& kind = m_load.senders[sent.sender].kind;
-    const Duration took = m_now - sent.at;
+    const Duration took = m_now - sent.first_at;
     SenderTally& tally = m_tallies[sent.sender];
     if (took <= kind.objective)
       ++tally.in_time;
--- a/source/unit_tests/core/admission/owner_load.h
+++ b/source/unit_tests/core/admission/owner_load.h
@@ -6,7 +6,9 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -59,6 +61,12 @@
   SenderTally& operator+=(const SenderTally& other);
 };
 
+// When callers that were refused try again. They honour a Retry-After up to a
+// third of their remaining time; empty: they do not retry.
+using RetryAfter = std::function<std::optional<Duration>(const LoadReport& load,
+                                                         Duration left,
+                                                         RandomSource& random)>;
+
 struct OwnerLoad {
   std::uint32_t slots = 6;
   std::vector<Sender> senders;
@@ -70,6 +78,7 @@
   double slowdown = 7;
   AdmissionSettings settings{};
   std::uint64_t seed = 5;
+  RetryAfter retry_after{};
 };
 
 class OwnerLoadReplay {
@@ -84,14 +93,21 @@
   struct Sent {
     std::size_t sender = 0;
     std::size_t group = 0;
+    // Of the first attempt and of the latest.
+    TimePoint first_at;
     TimePoint at;
   };
 
   void SendDue();
   void SendGroup(std::size_t sender);
+  void SendAttempt(const Sent& sent);
+  void RetryDue();
   void EndDue();
   void Disturb();
   void Note(const AdmissionOutput& output);
+  // Whether the refused request will be sent again.
+  bool Retry(const Sent& sent);
+  LoadReport Report() const;
   void FailGroup(const Sent& sent);
   Duration Gap(double per_second);
   double NormalDeviate();
@@ -99,6 +115,7 @@
   OwnerLoad m_load;
   SeededRandomSource m_random;
   SeededRandomSource m_times;
+  SeededRandomSource m_retry_times;
   Admission m_admission;
   TimePoint m_begun{std::chrono::seconds(1)};
   TimePoint m_now = m_begun;
@@ -108,6 +125,7 @@
   std::uint64_t m_last_work = 0;
   std::size_t m_last_group = 0;
   std::map<WorkId, Sent> m_sent;
+  std::multimap<TimePoint, Sent> m_retries;
   std::set<std::size_t> m_failed_groups;
   std::set<std::pair<TimePoint, WorkId>> m_ends;
   std::vector<SenderTally> m_tallies;
