Keep fair shares over a fleet that serves out of order

Cause: two faults that only a fleet shows. While the queue is not contended, the earliest objective goes first, and the virtual time of fair queueing jumped to the tag of whatever started, so in the next contention requests of small workspaces got tags as high as those of the flood. And the limit for a workspace beyond its share applied to last attempts only, but most attempts of a fleet are not.

Change: out of order, the virtual time follows the lowest waiting tag, and what a workspace has started ahead of it is forgiven beyond two works. The limit applies to all attempts of workspaces under a lasting overload.

The retry budgets and the ask budget were not changed.

--- a/source/core/admission/admission.cc
+++ b/source/core/admission/admission.cc
@@ -226,21 +226,27 @@
           : m_settings.max_wait;
   const Duration expected =
       FromSeconds(waits * ToSeconds(m_service_times.slot_time_per_unit()));
+  const std::optional<Duration> in_time = OverloadWaitOf(now, request);
   if (!request.is_last_attempt)
-    return expected;
+    return in_time ? std::min(expected, *in_time) : expected;
   const double fraction = m_service_times.has_samples()
                               ? m_settings.min_wait_of_time_left
                               : m_settings.min_wait_before_first_answer;
   const Duration least = FromSeconds(fraction * ToSeconds(request.time_left));
-  // Nested calls are needed until their deadline, not until their objective.
-  if (DecidesOnArrival(request) && !request.is_nested &&
-      IsBacklogged(ClassOf(request))) {
-    const double fraction_in_time =
-        IsWithinShare(now, request) ? 1.0 : m_settings.excess_wait_fraction;
-    return std::max(least, FromSeconds(fraction_in_time *
-                                       ToSeconds(InTimeWaitOf(request))));
-  }
-  return std::max(expected, least);
+  return std::max(in_time.value_or(expected), least);
+}
+
+// Nested calls are needed until their deadline, not until their objective.
+std::optional<Duration> Admission::OverloadWaitOf(
+    TimePoint now,
+    const AdmissionRequest& request) const {
+  if (!DecidesOnArrival(request) || request.is_nested ||
+      !IsBacklogged(ClassOf(request)))
+    return std::nullopt;
+  const Duration longest = InTimeWaitOf(request);
+  if (IsWithinShare(now, request))
+    return longest;
+  return FromSeconds(m_settings.excess_wait_fraction * ToSeconds(longest));
 }
 
 Rank Admission::RankOf(TimePoint now, const AdmissionRequest& request) const {
--- a/source/core/admission/admission.h
+++ b/source/core/admission/admission.h
@@ -214,6 +214,10 @@
   std::uint32_t Limit() const;
   std::size_t MaxQueue() const;
   Duration MaxWaitOf(TimePoint now, const AdmissionRequest& request) const;
+  // Longest wait of a request under a lasting overload; empty if it is none, or
+  // if the request is not decided on arrival.
+  std::optional<Duration> OverloadWaitOf(TimePoint now,
+                                         const AdmissionRequest& request) const;
   bool DecidesOnArrival(const AdmissionRequest& request) const;
   // The request's rank, or the most urgent one if its workspace is underserved.
   Rank RankOf(TimePoint now, const AdmissionRequest& request) const;
--- a/source/core/admission/admission_queue.cc
+++ b/source/core/admission/admission_queue.cc
@@ -15,6 +15,11 @@
 // Number of finish tags from which those without effect are pruned.
 constexpr std::size_t kPruneAt = 128;
 
+// How many of its works a workspace may have started beyond its share while the
+// queue was not contended; more are forgiven. Without a bound, a workspace that
+// has used idle capacity for long would get nothing in the next contention.
+constexpr double kMaxLead = 2;
+
 // Sort key among works of the same timeliness: earliest due time first if the
 // work is likely in time, newest first otherwise. Newest first also applies to
 // late works, since the service time is an estimate and a work that is slightly
@@ -106,8 +111,19 @@
 }
 
 void AdmissionQueue::Charge(const QueuedWork& work) {
-  m_virtual_time = std::max(m_virtual_time, work.start_tag);
-  m_finish_tags[work.workspace] = work.start_tag + work.weight / work.share;
+  const double cost = work.weight / work.share;
+  double start_tag = work.start_tag;
+  if (m_is_contended) {
+    m_virtual_time = std::max(m_virtual_time, start_tag);
+  } else {
+    // The work may have gone before others with lower tags.
+    double lowest = start_tag;
+    for (const QueuedWork& waiting : m_works)
+      lowest = std::min(lowest, waiting.start_tag);
+    m_virtual_time = std::max(m_virtual_time, lowest);
+    start_tag = std::min(start_tag, m_virtual_time + kMaxLead * cost);
+  }
+  m_finish_tags[work.workspace] = start_tag + cost;
   if (m_finish_tags.size() < kPruneAt)
     return;
   std::erase_if(m_finish_tags, [this](const auto& entry) {
