Test the precedence of nested calls against a naive order

RankedQueue is compared with textbook fair queueing over classes of new work and of nested calls, and each pair of ranks is checked for who starts first and which share the new work keeps. Extends the generated cases of the existing property.

--- a/source/unit_tests/core/admission/ranked_queue_test.cc
+++ b/source/unit_tests/core/admission/ranked_queue_test.cc
@@ -7,7 +7,9 @@
 #include <cmath>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
+#include <string>
 #include <tuple>
 #include <utility>
 #include <vector>
@@ -24,9 +26,9 @@
 using std::chrono_literals::operator""ms;
 using std::chrono_literals::operator""s;
 
-// Fair queueing over the ranks without sorted state: of the ranks with waiting
-// works, the one with the lowest next tag starts its work with the earliest
-// deadline.
+// Fair queueing over the ranks, each with a class of nested calls and one of
+// new work, without sorted state: of the classes with waiting works, the one
+// with the lowest next tag starts its work with the earliest deadline.
 class NaiveRanks {
  public:
   void Push(Rank rank, const QueuedWork& work, Duration cost) {
@@ -41,9 +43,11 @@
     }
     if (first == nullptr)
       return std::nullopt;
-    const double tag = TagOf(first->rank);
+    const double tag = TagOf(*first);
     m_virtual_time = std::max(m_virtual_time, tag);
-    m_finish[first->rank] = tag + first->cost * std::pow(2.0, first->rank);
+    const double factor =
+        std::pow(2.0, first->rank) / (first->work.is_nested ? 2 : 1);
+    m_finish[ClassOf(*first)] = tag + first->cost * factor;
     const WorkId id = first->work.work;
     Remove(id);
     return id;
@@ -61,21 +65,27 @@
     double cost = 0;
   };
 
-  double TagOf(Rank rank) const {
-    const auto found = m_finish.find(rank);
+  using Class = std::pair<Rank, bool>;
+
+  static Class ClassOf(const Entry& entry) {
+    return {entry.rank, !entry.work.is_nested};
+  }
+
+  double TagOf(const Entry& entry) const {
+    const auto found = m_finish.find(ClassOf(entry));
     return found == m_finish.end() ? m_virtual_time
                                    : std::max(m_virtual_time, found->second);
   }
 
   bool IsBefore(const Entry& one, const Entry& other) const {
-    return std::tuple(TagOf(one.rank), one.rank, one.work.deadline,
+    return std::tuple(TagOf(one), ClassOf(one), one.work.deadline,
                       one.work.work.value()) <
-           std::tuple(TagOf(other.rank), other.rank, other.work.deadline,
+           std::tuple(TagOf(other), ClassOf(other), other.work.deadline,
                       other.work.work.value());
   }
 
   std::vector<Entry> m_works;
-  std::map<Rank, double> m_finish;
+  std::map<Class, double> m_finish;
   double m_virtual_time = 0;
 };
 
@@ -89,6 +99,7 @@
       QueuedWork work;
       work.work = WorkId(static_cast<std::uint64_t>(step));
       work.deadline = TimePoint(Duration(*rc::gen::inRange(0, 50)));
+      work.is_nested = *rc::gen::arbitrary<bool>();
       const auto rank = static_cast<Rank>(*rc::gen::inRange(0, 4));
       // Powers of two, so that sums are exact in any order.
       const Duration cost = std::chrono::seconds(1 << *rc::gen::inRange(0, 4));
@@ -123,6 +134,71 @@
   EXPECT_EQ(queue.works().size(), 5U);
 }
 
+struct NestedRankCase {
+  const char* name;
+  Rank rank_of_nested;
+  Rank rank_of_new;
+  // Part of the time that the new work keeps while both are backlogged.
+  double least_share_of_new;
+  // Whether a nested call starts before new work that waited before it.
+  bool is_nested_first;
+};
+
+class NestedRankTest : public ::testing::TestWithParam<NestedRankCase> {};
+
+QueuedWork WorkOf(std::uint64_t id, bool is_nested) {
+  QueuedWork work;
+  work.work = WorkId(id);
+  work.is_nested = is_nested;
+  work.deadline = TimePoint(Duration(id));
+  return work;
+}
+
+// Guards against nested calls that wait behind new work of their own or a less
+// urgent rank, and against ranks that nested calls push below their share.
+TEST_P(NestedRankTest, NestedCallsGoFirstAndLeaveRanksTheirShare) {
+  RankedQueue queue;
+  queue.Push(GetParam().rank_of_new, WorkOf(1, false), 10ms);
+  queue.Push(GetParam().rank_of_nested, WorkOf(2, true), 10ms);
+  EXPECT_EQ(queue.works().front().is_nested, GetParam().is_nested_first);
+  std::uint64_t last_id = 2;
+  int nested_started = 0;
+  constexpr int starts = 1000;
+  for (int start = 0; start < starts; ++start) {
+    const std::optional<QueuedWork> work = queue.PopFirst(true);
+    nested_started += work->is_nested ? 1 : 0;
+    const Rank rank =
+        work->is_nested ? GetParam().rank_of_nested : GetParam().rank_of_new;
+    queue.Push(rank, WorkOf(++last_id, work->is_nested), 10ms);
+  }
+  EXPECT_GE(starts - nested_started, GetParam().least_share_of_new * starts);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Cases,
+    NestedRankTest,
+    ::testing::Values(NestedRankCase{"SameRank", 0, 0, 0.33, true},
+                      NestedRankCase{"LessUrgentNewWork", 0, 1, 0.19, true},
+                      NestedRankCase{"MoreUrgentNewWork", 1, 0, 0.49, false},
+                      NestedRankCase{"FarMoreUrgentNewWork", 2, 0, 0.66,
+                                     false}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+// Guards against nested calls whose caller has run out of time while another
+// one with more time left was answered.
+TEST(NestedOrderTest, CallersWithLessTimeLeftGoFirst) {
+  RankedQueue queue;
+  QueuedWork patient = WorkOf(1, true);
+  patient.deadline = TimePoint(500ms);
+  patient.objective = TimePoint(100ms);
+  QueuedWork urgent = WorkOf(2, true);
+  urgent.deadline = TimePoint(200ms);
+  urgent.objective = TimePoint(150ms);
+  queue.Push(0, patient, 10ms);
+  queue.Push(0, urgent, 10ms);
+  EXPECT_EQ(queue.works().front().work, urgent.work);
+}
+
 // Counts for a target of nine slots with a third more load than its capacity.
 // Short requests take 40 ms, with an objective of 120 ms and a deadline of 400
 // ms, of which 60 ms have passed before they arrive. Long ones take 250 ms,
