Apply priorities within the fair shares of workspaces only

Cause: the shares of ranks come before those of workspaces. A workspace of the most urgent priority that sends six times its usual rate was served in full, and all others paid for it.

Change: a request with which its workspace exceeds its fair share of the target gets the least urgent rank that is present. Requests without a workspace, and targets with one rank, are not affected.

--- a/source/core/admission/admission.cc
+++ b/source/core/admission/admission.cc
@@ -249,11 +249,21 @@
   return FromSeconds(m_settings.excess_wait_fraction * ToSeconds(longest));
 }
 
+// Load pattern: a workspace of the most urgent priority floods a target. With
+// its priority, the flood would take the capacity of all others, so priorities
+// only apply to what is within the fair shares.
 Rank Admission::RankOf(TimePoint now, const AdmissionRequest& request) const {
   const Duration cost = m_service_times.SlotTime(request.kind, request.weight);
-  const bool is_underserved =
-      m_shares.IsUnderserved(now, request.workspace, cost);
-  return is_underserved ? 0 : request.rank;
+  if (m_shares.IsUnderserved(now, request.workspace, cost))
+    return 0;
+  if (IsWithinShare(now, request))
+    return request.rank;
+  Rank least_urgent = request.rank;
+  for (const auto& [work_class, history] : m_histories) {
+    if (now - history.last_arrival <= m_settings.presence_time)
+      least_urgent = std::max(least_urgent, work_class.rank);
+  }
+  return least_urgent;
 }
 
 bool Admission::IsWithinShare(TimePoint now,
--- a/source/core/admission/admission.h
+++ b/source/core/admission/admission.h
@@ -219,7 +219,8 @@
   std::optional<Duration> OverloadWaitOf(TimePoint now,
                                          const AdmissionRequest& request) const;
   bool DecidesOnArrival(const AdmissionRequest& request) const;
-  // The request's rank, or the most urgent one if its workspace is underserved.
+  // The request's rank; the most urgent one if its workspace is underserved,
+  // and the least urgent one present if its workspace exceeds its fair share.
   Rank RankOf(TimePoint now, const AdmissionRequest& request) const;
   // Whether the workspace stays within its fair share with this request.
   bool IsWithinShare(TimePoint now, const AdmissionRequest& request) const;
