Test held requests and the memory of fair queueing directly

Two mutations stayed green: an overflow that refuses held requests, and a virtual time that follows the order of objectives. Each now turns a test red.

--- a/source/unit_tests/core/admission/admission_queue_test.cc
+++ b/source/unit_tests/core/admission/admission_queue_test.cc
@@ -7,6 +7,7 @@
 #include <map>
 #include <string>
 #include <tuple>
+#include <vector>
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -165,5 +166,37 @@
                                          ShareCase{1, 4, 0.25},
                                          ShareCase{8, 2, 4}));
 
+// Guards against a workspace whose use of idle capacity is forgotten, so that
+// others have no precedence in the next contention, and against one that pays
+// for it for long.
+TEST(AdmissionQueueOrderTest, UseOfIdleCapacityCountsForTwoWorks) {
+  AdmissionQueue queue;
+  std::uint64_t last_id = 0;
+  const auto push = [&](const std::string& workspace, int due) {
+    QueuedWork work;
+    work.work = WorkId(++last_id);
+    work.workspace = WorkspaceName(workspace);
+    work.deadline = TimePoint(Duration(due));
+    queue.Push(work);
+  };
+  queue.SetContended(false);
+  push("earlier", 1);
+  queue.PopFirst(true);
+  push("patient", 1000);
+  for (int started = 0; started < 10; ++started) {
+    push("busy", 10 + started);
+    EXPECT_EQ(queue.PopFirst(true)->workspace, WorkspaceName("busy"));
+  }
+  push("busy", 100);
+  for (const int due : {500, 501, 502})
+    push("earlier", due);
+  queue.SetContended(true);
+  std::vector<std::string> order;
+  for (const QueuedWork& work : queue.works())
+    order.push_back(work.workspace.value());
+  EXPECT_EQ(order, (std::vector<std::string>{"patient", "earlier", "earlier",
+                                             "busy", "earlier"}));
+}
+
 }  // namespace
 }  // namespace bulrushmount
--- a/source/unit_tests/core/admission/admission_test.cc
+++ b/source/unit_tests/core/admission/admission_test.cc
@@ -226,6 +226,46 @@
   EXPECT_EQ(ended.start, std::vector<WorkId>{quiet});
 }
 
+class HeldWorkTest : public AdmissionTest {
+ protected:
+  HeldWorkTest()
+      : AdmissionTest({.queue_per_slot = 1, .max_wait_of_last_attempt = 1000}) {
+  }
+
+  AdmissionOutput ArriveWithObjective(Duration objective) {
+    AdmissionRequest request = RequestOf("a", 5s);
+    request.objective_left = objective;
+    request.is_last_attempt = true;
+    return m_admission.Arrive(m_now, WorkId(++m_last_id), request);
+  }
+};
+
+// Guards against a full queue that refuses a request which its caller has
+// waited for, in favour of one that has just arrived.
+TEST_F(HeldWorkTest, OverflowRefusesTheLatestArrival) {
+  FillSlots("a");
+  for (std::uint32_t count = 0; count < kSlots; ++count)
+    EXPECT_TRUE(ArriveWithObjective(800ms).refuse.empty());
+  m_now += 150ms;
+  const AdmissionOutput output = ArriveWithObjective(400ms);
+  EXPECT_EQ(output.refuse, (std::vector<AdmissionRefusal>{
+                               {WorkId(m_last_id), Reason::kOverloaded}}));
+}
+
+// Guards against a request that is refused for lack of capacity after an eighth
+// of its objective, and against one that is held although its deadline cannot
+// be met.
+TEST_F(HeldWorkTest, IsRefusedAtItsDeadlineOnly) {
+  FillSlots("a");
+  EXPECT_TRUE(ArriveWithObjective(800ms).refuse.empty());
+  // The slots are not released, so the expected wait grows.
+  for (; m_now < TimePoint(5900ms); m_now += 100ms)
+    EXPECT_TRUE(m_admission.OnTimer(m_now).refuse.empty())
+        << ToSeconds(m_now.time_since_epoch());
+  m_now = TimePoint(6s);
+  EXPECT_EQ(m_admission.OnTimer(m_now).refuse.size(), 1U);
+}
+
 // Guards against new work for a target that withdraws: waiting works are
 // refused, and so are requests from entries that do not yet know of the
 // withdrawal.
