Refuse nested calls early while they overload their target

Cause: where workspaces are in use, nested calls waited and were held also when they alone exceed what their targets can run. A caller needs several calls at different targets, so the wait only delayed the refusal of the others.

Below it, they are held and wait as before.

--- a/source/core/admission/admission.cc
+++ b/source/core/admission/admission.cc
@@ -24,6 +24,12 @@
   return {request.rank, request.is_nested};
 }
 
+// Load pattern: nested calls alone exceed what their targets can run. A caller
+// needs several of them at different targets, so long waits and held calls only
+// delay the refusal of the others. Above this part of the slots' time, nested
+// calls are refused as soon as their expected wait is long.
+constexpr double kMaxNestedPart = 0.6;
+
 std::optional<TimePoint> HoldEndOf(TimePoint now,
                                    const AdmissionRequest& request) {
   if (request.max_hold <= Duration::zero())
@@ -119,6 +125,8 @@
     request.rank = RankOf(now, request);
   }
   UpdateHistories(now);
+  if (request.is_nested)
+    m_nested_demand.Add(now, ToSeconds(cost));
   m_histories[ClassOf(request)].last_arrival = now;
   QueuedWork queued{
       .work = work,
@@ -280,7 +288,8 @@
 bool Admission::DecidesOnArrival(const AdmissionRequest& request) const {
   return m_settings.decides_on_arrival && request.objective_left &&
          !request.is_suspect &&
-         (request.is_nested || HasWorkspace(request.workspace));
+         (HasWorkspace(request.workspace) ||
+          (request.is_nested && DoNestedCallsFit()));
 }
 
 Duration Admission::InTimeWaitOf(const AdmissionRequest& request) const {
@@ -293,9 +302,18 @@
   return work.decide_by && *work.decide_by < now;
 }
 
+bool Admission::DoNestedCallsFit() const {
+  return m_nested_demand.At(m_histories_updated_at) <
+         kMaxNestedPart * Limit() * ToSeconds(kNestedDemandTime);
+}
+
 bool Admission::IsOverloaded(const WorkClass& work_class) const {
+  // Nested calls that overload the target gain nothing from the slots of new
+  // work of their rank.
+  const WorkClass least_urgent{work_class.rank,
+                               work_class.is_nested && DoNestedCallsFit()};
   const bool has_less_urgent_class =
-      std::any_of(m_histories.upper_bound(work_class), m_histories.end(),
+      std::any_of(m_histories.upper_bound(least_urgent), m_histories.end(),
                   [this](const auto& entry) {
                     return m_histories_updated_at - entry.second.last_arrival <=
                            m_settings.presence_time;
--- a/source/core/admission/admission.h
+++ b/source/core/admission/admission.h
@@ -18,6 +18,7 @@
 #include "core/admission/slowdown_baseline.h"
 #include "core/admission/start_gate.h"
 #include "core/admission/workspace_shares.h"
+#include "core/common/decaying_sum.h"
 #include "core/common/ids.h"
 #include "core/common/outcome.h"
 #include "core/common/time.h"
@@ -186,6 +187,9 @@
   std::uint32_t slots() const { return m_slots; }
 
  private:
+  // A few times the duration of a nested call.
+  static constexpr Duration kNestedDemandTime = std::chrono::milliseconds(150);
+
   struct Running {
     KindName kind;
     double weight = 1.0;
@@ -205,6 +209,9 @@
     TimePoint last_arrival;
   };
 
+  // Whether nested calls ask for less than most of the slots' time, so that a
+  // lasting overload is not theirs.
+  bool DoNestedCallsFit() const;
   // Whether the class has a lasting overload, in which longer waits do not
   // help. A class is not overloaded while less urgent works are present, since
   // it gets the slots that these free.
@@ -286,6 +293,8 @@
   bool m_is_open = false;
   // Reason for refusing works that arrive while the admission is closed.
   Reason m_closed_reason = Reason::kDraining;
+  // Slot time that nested calls recently asked for, in seconds.
+  DecayingSum m_nested_demand{kNestedDemandTime};
   std::map<WorkClass, ClassHistory> m_histories;
   TimePoint m_histories_updated_at;
   std::optional<TimePoint> m_next_wakeup;
--- a/source/unit_tests/core/node_logic/nested_overload_test.cc
+++ b/source/unit_tests/core/node_logic/nested_overload_test.cc
@@ -103,6 +103,8 @@
   Duration handling_time;
   // Offered calls relative to the capacity of the called service.
   double load;
+  // Requests of a workspace to the called service per second, beside the calls.
+  double workspace_rate = 0;
 };
 
 class NestedOverloadTest : public ::testing::TestWithParam<NestedLoad> {
@@ -123,12 +125,14 @@
     const TimePoint end = fleet.now() + length;
     m_requests.clear();
     m_served = 0;
+    m_next_of_workspace = {};
     std::size_t calls = 0;
     while (fleet.now() < end) {
       fleet.Run(FromSeconds(-std::log1p(-random.Fraction()) / per_second));
       SettleRequests(fleet);
       SendRequest(fleet, DrawCaller(random));
       calls += kLookupsOfARequest;
+      SendOfWorkspace(fleet, random);
     }
     fleet.Run(kLookupDeadline);
     SettleRequests(fleet);
@@ -169,6 +173,18 @@
     m_requests.push_back(std::move(request));
   }
 
+  // Sends a request of a workspace if one is due.
+  void SendOfWorkspace(Fleet& fleet, RandomSource& random) {
+    if (GetParam().workspace_rate == 0 || fleet.now() < m_next_of_workspace)
+      return;
+    m_next_of_workspace =
+        fleet.now() + FromSeconds(1 / GetParam().workspace_rate);
+    CallHead head = fleet.MakeHead("w1", "GET", "/lookup/1");
+    head.host = kHost;
+    head.deadline = kLookupDeadline;
+    fleet.Send(DrawCaller(random), std::move(head));
+  }
+
   // A request ends with its last answer or with its first failed call; the
   // remaining calls are then abandoned.
   void SettleRequests(Fleet& fleet) {
@@ -194,6 +210,7 @@
   FixedDocumentDecoder m_decoder;
   std::vector<Request> m_requests;
   std::size_t m_served = 0;
+  TimePoint m_next_of_workspace{};
 };
 
 // Minimum goodput under overload relative to that at full load.
@@ -233,6 +250,29 @@
       << " at full load";
 }
 
+class NestedCallsOfWorkspacesTest : public NestedOverloadTest {};
+
+// Guards against rules for nested calls beside requests of workspaces that let
+// nested calls wait or hold them while they overload their targets themselves:
+// 0.85 of full load was served.
+TEST_P(NestedCallsOfWorkspacesTest, MoreThanCanBeServedCostsNoGoodAnswers) {
+  constexpr std::uint64_t seed_count = 8;
+  double full = 0;
+  double over = 0;
+  for (std::uint64_t seed = 1; seed <= seed_count; ++seed) {
+    full += Play(1.0, 4s, seed).served;
+    over += Play(GetParam().load, 4s, seed).served;
+  }
+  EXPECT_GE(over, kGoodputGoal * full);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Loads,
+    NestedCallsOfWorkspacesTest,
+    ::testing::Values(NestedLoad{"TenthOfACore", 1ms, 1.7, 40},
+                      NestedLoad{"HalfOfACore", 200us, 1.7, 40}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 INSTANTIATE_TEST_SUITE_P(
     Loads,
     NestedOverloadTest,
