--- a/source/core/admission/admission.cc
+++ b/source/core/admission/admission.cc
@@ -24,6 +24,12 @@
   return {request.rank, request.is_nested};
 }
 
+// Load pattern: nested calls alone exceed what their targets can run. A caller
+// needs several of them at different targets, so long waits and held calls only
+// delay the refusal of the others. Above this part of the slots' time, nested
+// calls are refused as soon as their expected wait is long.
+constexpr double kMaxNestedPart = 0.6;
+
 std::optional<TimePoint> HoldEndOf(TimePoint now,
                                    const AdmissionRequest& request) {
   if (request.max_hold <= Duration::zero())
@@ -119,6 +125,8 @@
     request.rank = RankOf(now, request);
   }
   UpdateHistories(now);
+  if (request.is_nested)
+    m_nested_demand.Add(now, ToSeconds(cost));
   m_histories[ClassOf(request)].last_arrival = now;
   QueuedWork queued{
       .work = work,
@@ -249,11 +257,21 @@
   return FromSeconds(m_settings.excess_wait_fraction * ToSeconds(longest));
 }
 
+// Load pattern: a workspace of the most urgent priority floods a target. With
+// its priority, the flood would take the capacity of all others, so priorities
+// only apply to what is within the fair shares.
 Rank Admission::RankOf(TimePoint now, const AdmissionRequest& request) const {
   const Duration cost = m_service_times.SlotTime(request.kind, request.weight);
-  const bool is_underserved =
-      m_shares.IsUnderserved(now, request.workspace, cost);
-  return is_underserved ? 0 : request.rank;
+  if (m_shares.IsUnderserved(now, request.workspace, cost))
+    return 0;
+  if (IsWithinShare(now, request))
+    return request.rank;
+  Rank least_urgent = request.rank;
+  for (const auto& [work_class, history] : m_histories) {
+    if (now - history.last_arrival <= m_settings.presence_time)
+      least_urgent = std::max(least_urgent, work_class.rank);
+  }
+  return least_urgent;
 }
 
 bool Admission::IsWithinShare(TimePoint now,
@@ -270,7 +288,8 @@
 bool Admission::DecidesOnArrival(const AdmissionRequest& request) const {
   return m_settings.decides_on_arrival && request.objective_left &&
          !request.is_suspect &&
-         (request.is_nested || HasWorkspace(request.workspace));
+         (HasWorkspace(request.workspace) ||
+          (request.is_nested && DoNestedCallsFit()));
 }
 
 Duration Admission::InTimeWaitOf(const AdmissionRequest& request) const {
@@ -283,9 +302,18 @@
   return work.decide_by && *work.decide_by < now;
 }
 
+bool Admission::DoNestedCallsFit() const {
+  return m_nested_demand.At(m_histories_updated_at) <
+         kMaxNestedPart * Limit() * ToSeconds(kNestedDemandTime);
+}
+
 bool Admission::IsOverloaded(const WorkClass& work_class) const {
+  // Nested calls that overload the target gain nothing from the slots of new
+  // work of their rank.
+  const WorkClass least_urgent{work_class.rank,
+                               work_class.is_nested && DoNestedCallsFit()};
   const bool has_less_urgent_class =
-      std::any_of(m_histories.upper_bound(work_class), m_histories.end(),
+      std::any_of(m_histories.upper_bound(least_urgent), m_histories.end(),
                   [this](const auto& entry) {
                     return m_histories_updated_at - entry.second.last_arrival <=
                            m_settings.presence_time;
