Send keys in the soak and check workspaces in the ledgers

Clients send permanent, changing, withdrawn, unknown and no keys, and claim a workspace in half of the calls. The checks: a server received the workspace of the key and no key; nothing ran without a valid key; a permanent key is never refused as unknown; a process does not accept a key again after it has refused it; a key is refused 15 s after the commit that withdraws it, in spite of faults; and a request answered with 401 has not run. The random streams of runs without keys are unchanged.

--- a/source/soak/ledger_checks.cc
+++ b/source/soak/ledger_checks.cc
@@ -8,6 +8,7 @@
 
 #include <fmt/format.h>
 
+#include "soak/key_checks.h"
 #include "soak/notice_checks.h"
 
 namespace bulrushmount::soak {
@@ -37,6 +38,7 @@
       report("no answer");
       break;
     case ClientVerdict::kRefused:
+    case ClientVerdict::kUnknownKey:
       if (runs > 0)
         report("the request was refused as not run but has run");
       break;
@@ -109,6 +111,14 @@
 
 }  // namespace
 
+std::string PermanentKey(const std::string& workspace) {
+  return workspace + "-permanent";
+}
+
+std::string KeyFrom(const std::string& workspace, std::uint64_t version) {
+  return fmt::format("{}-{}", workspace, version);
+}
+
 std::string VersionPrefix(std::uint64_t version) {
   return fmt::format("{}{}/", kVersionPath, version);
 }
@@ -134,6 +144,7 @@
   CheckDrains(record, violations);
   CheckVersions(record, violations);
   CheckNotices(record, violations);
+  CheckKeys(record, violations);
   return violations;
 }
 
--- a/source/soak/ledger_checks.h
+++ b/source/soak/ledger_checks.h
@@ -4,6 +4,7 @@
 #ifndef BULRUSHMOUNT_SOAK_LEDGER_CHECKS_H_
 #define BULRUSHMOUNT_SOAK_LEDGER_CHECKS_H_
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -41,6 +42,16 @@
   bool is_leaving = false;
 };
 
+// The keys of the soak's workspaces. Each workspace has one key in all versions
+// of the document, and one in kVersionsOfAKey versions from a given one on.
+inline constexpr std::array<const char*, 4> kWorkspaces = {"amber", "birch",
+                                                           "cedar", "delta"};
+inline constexpr std::uint64_t kVersionsOfAKey = 2;
+std::string PermanentKey(const std::string& workspace);
+std::string KeyFrom(const std::string& workspace, std::uint64_t version);
+// In no version of the document.
+inline constexpr char kNeverValidKey[] = "no-key-of-a-workspace";
+
 // Everything that is recorded in a run.
 struct SoakRecord {
   std::vector<platform::FinishedCall> calls;
@@ -53,6 +64,11 @@
   // Restarts, freezes and cuts of nodes and their ends, by node index. They
   // excuse a node from the notices that it has relayed before.
   std::map<std::size_t, std::vector<TimePoint>> disturbances;
+  // The times at which the versions of the document were written; only of those
+  // that withdraw keys.
+  std::map<std::uint64_t, TimePoint> commits;
+  // Requests need keys, and servers receive the workspaces of the keys.
+  bool has_workspaces = false;
 };
 
 // Returns one line for each violated guarantee, with the request and, for a
--- a/source/soak/ledger_checks_test.cc
+++ b/source/soak/ledger_checks_test.cc
@@ -91,6 +91,80 @@
   return record;
 }
 
+// A call with this key and one run, which named this workspace to the server.
+SoakRecord WithKey(const std::string& key,
+                   const std::string& workspace,
+                   bool is_key_received = false) {
+  SoakRecord record =
+      WithRuns({CallOf("a", "/safe/", ClientVerdict::kServed)}, {"a"});
+  record.has_workspaces = true;
+  record.calls[0].call.key = key;
+  record.runs[0].workspace = workspace;
+  record.runs[0].has_key = is_key_received;
+  return record;
+}
+
+// Calls with a key one second apart, with these verdicts.
+SoakRecord WithVerdicts(const std::string& key,
+                        const std::vector<ClientVerdict>& verdicts) {
+  SoakRecord record;
+  record.has_workspaces = true;
+  for (const ClientVerdict verdict : verdicts) {
+    const std::size_t number = record.calls.size();
+    const std::string id = "r" + std::to_string(number);
+    record.calls.push_back(
+        CallOf(id, "/safe/", verdict, std::chrono::seconds(number)));
+    record.calls.back().call.key = key;
+    if (verdict == ClientVerdict::kServed) {
+      record.runs.push_back({id, "i-1", "booking", "/", kStart});
+      record.runs.back().workspace = "amber";
+    }
+  }
+  return record;
+}
+
+SoakRecord Restarted(SoakRecord record) {
+  record.node_starts[0] = {kStart - std::chrono::seconds(1),
+                           kStart + std::chrono::milliseconds(1500)};
+  return record;
+}
+
+// A call with a key of the first version that is accepted this long after the
+// commit that withdraws the key.
+SoakRecord AcceptedAfterWithdrawal(Duration after) {
+  SoakRecord record = WithVerdicts("amber-1", {ClientVerdict::kServed});
+  record.commits[1 + kVersionsOfAKey] = kStart - after;
+  return record;
+}
+
+constexpr ClientVerdict kYes = ClientVerdict::kServed;
+constexpr ClientVerdict kNo = ClientVerdict::kUnknownKey;
+
+INSTANTIATE_TEST_SUITE_P(
+    Keys,
+    LedgerCheckTest,
+    testing::Values(
+        LedgerCheckCase{"RightWorkspace", WithKey("amber-3", "amber"), 0},
+        LedgerCheckCase{"OtherWorkspace", WithKey("amber-3", "birch"), 1},
+        LedgerCheckCase{"NoWorkspace", WithKey("amber-permanent", ""), 1},
+        LedgerCheckCase{"KeyReceived", WithKey("amber-3", "amber", true), 1},
+        LedgerCheckCase{"RunWithoutKey", WithKey("", ""), 1},
+        LedgerCheckCase{"RunWithNeverValidKey", WithKey(kNeverValidKey, ""), 1},
+        LedgerCheckCase{"PermanentKeyRefused",
+                        WithVerdicts("amber-permanent", {kYes, kNo}), 1},
+        LedgerCheckCase{"KeyAcceptedJustAfterItsWithdrawal",
+                        AcceptedAfterWithdrawal(std::chrono::seconds(5)), 0},
+        LedgerCheckCase{"KeyAcceptedLongAfterItsWithdrawal",
+                        AcceptedAfterWithdrawal(std::chrono::seconds(16)), 1},
+        LedgerCheckCase{"KeyAddedAndWithdrawn",
+                        WithVerdicts("amber-3", {kNo, kYes, kNo}), 0},
+        LedgerCheckCase{"KeyAcceptedAgain",
+                        WithVerdicts("amber-3", {kYes, kNo, kYes}), 1},
+        LedgerCheckCase{"KeyAcceptedAgainAfterARestart",
+                        Restarted(WithVerdicts("amber-3", {kYes, kNo, kYes})),
+                        0}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 INSTANTIATE_TEST_SUITE_P(
     Records,
     LedgerCheckTest,
--- a/source/soak/main.cc
+++ b/source/soak/main.cc
@@ -58,9 +58,9 @@
   return result.violations.empty();
 }
 
-// Runs each line of the form "SEED SECONDS NODES [notices] | cause"; lines that
-// begin with # are comments. Without "notices", servers state nothing in their
-// answers.
+// Runs each line of the form "SEED SECONDS NODES [notices] [keys] | cause";
+// lines that begin with # are comments. Without "notices", servers state
+// nothing in their answers; without "keys", there are no workspaces.
 int RunSeedFile(const std::string& file, SoakOptions options) {
   std::ifstream lines(file);
   std::string line;
@@ -76,8 +76,12 @@
       return 2;
     }
     options.length = std::chrono::seconds(seconds);
-    std::string word;
-    options.has_notices = words >> word && word == "notices";
+    options.has_notices = false;
+    options.has_workspaces = false;
+    for (std::string word; words >> word && word != "|";) {
+      options.has_notices |= word == "notices";
+      options.has_workspaces |= word == "keys";
+    }
     has_passed = RunSeed(options) && has_passed;
   }
   return has_passed ? 0 : 1;
@@ -91,6 +95,7 @@
   options.nodes = parsed["nodes"].as<std::size_t>();
   options.is_without_faults = parsed["calm"].as<bool>();
   options.has_notices = !parsed["without-notices"].as<bool>();
+  options.has_workspaces = parsed["keys"].as<bool>();
   options.calls_per_node = parsed["calls"].as<std::size_t>();
   options.program = parsed["program"].as<std::string>();
   options.settings_template = BULRUSHMOUNT_NODE_TEMPLATE;
@@ -124,6 +129,7 @@
       cxxopts::value<std::size_t>()->default_value("3"))(
       "calm", "Send traffic without faults")(
       "without-notices", "Servers name no request rates in their answers")(
+      "keys", "Clients send keys of workspaces")(
       "print-schedule", "Print the fault schedule without running it")(
       "program", "Path of the node program",
       cxxopts::value<std::string>()->default_value(BULRUSHMOUNT_NODE))(
--- a/source/soak/soak_run.cc
+++ b/source/soak/soak_run.cc
@@ -46,6 +46,15 @@
 constexpr double kOnceFraction = 0.45;
 constexpr std::size_t kLargeBodyBytes = 200'000;
 
+// Fractions of the calls with a key of few versions, of which some are
+// withdrawn, and of those without a valid key. The others have a permanent key.
+constexpr double kChangingKeyFraction = 0.2;
+constexpr double kNoKeyFraction = 0.02;
+constexpr double kNeverValidKeyFraction = 0.02;
+constexpr double kClaimFraction = 0.5;
+// The versions before the newest whose keys are used.
+constexpr std::uint64_t kUsedOlderVersions = 6;
+
 // The time between an answer and the client's next request. It limits the load
 // to a few hundred requests a second at each node, so that several soaks can
 // run on one machine.
@@ -79,6 +88,7 @@
 SoakRun::SoakRun(SoakOptions options)
     : m_options(std::move(options)),
       m_random(m_options.seed + 1),
+      m_key_random(m_options.seed + 2),
       m_nodes(m_options.nodes) {}
 
 SoakResult SoakRun::Run() {
@@ -106,6 +116,7 @@
   EndFleet();
   m_record.calls = m_fleet->TakeFinished();
   m_record.runs = m_fleet->Ledger();
+  m_record.has_workspaces = m_options.has_workspaces;
   for (std::string& line : FindViolations(m_record))
     m_violations.push_back(std::move(line));
   return {m_violations, FormatStatistics(m_record)};
@@ -135,9 +146,9 @@
   for (std::size_t index = 0; index < m_options.nodes; ++index) {
     const bool is_serving = WaitUntil([&] {
       return m_fleet->IsReady(index) &&
-             m_fleet->Call(index, path).outcome.verdict ==
+             m_fleet->Call(index, path, ServedKey()).outcome.verdict ==
                  ClientVerdict::kServed &&
-             m_fleet->Call(index, kSafePrefix).outcome.verdict ==
+             m_fleet->Call(index, kSafePrefix, ServedKey()).outcome.verdict ==
                  ClientVerdict::kServed;
     });
     if (!is_serving) {
@@ -388,6 +399,7 @@
 void SoakRun::MoveRoutes() {
   ++m_version;
   m_fleet->WriteDocument(RoutesDocument());
+  m_record.commits[m_version] = Now();
 }
 
 void SoakRun::WaitForRecovery() {
@@ -424,6 +436,33 @@
     call.body.append(kLargeBodyBytes, 'x');
   if (m_random.Fraction() < kEarlyDisconnectFraction)
     call.leaves_after = FromSeconds(m_random.Fraction() / 100);
+  if (!m_options.has_workspaces)
+    return;
+  call.key = DrawKey();
+  if (m_key_random.Fraction() < kClaimFraction)
+    call.claimed_workspace = kWorkspaces[0];
+}
+
+std::string SoakRun::DrawKey() {
+  const std::string workspace =
+      kWorkspaces.at(m_key_random.Index(kWorkspaces.size()));
+  double kind = m_key_random.Fraction();
+  if (kind < kNoKeyFraction)
+    return "";
+  kind -= kNoKeyFraction;
+  if (kind < kNeverValidKeyFraction)
+    return kNeverValidKey;
+  kind -= kNeverValidKeyFraction;
+  if (kind >= kChangingKeyFraction)
+    return PermanentKey(workspace);
+  const std::uint64_t newest = m_version;
+  const std::uint64_t older = m_key_random.Index(
+      std::min<std::uint64_t>(newest, kUsedOlderVersions + 1));
+  return KeyFrom(workspace, newest - older);
+}
+
+std::string SoakRun::ServedKey() const {
+  return m_options.has_workspaces ? PermanentKey(kWorkspaces[0]) : "";
 }
 
 // Each version switches the routes to the other service and adds a route of its
@@ -438,8 +477,21 @@
       version > kMaxOlderVersions ? version - kMaxOlderVersions : 1;
   for (std::uint64_t kept = oldest; kept <= version; ++kept)
     routes.push_back({platform::kFleetHost, VersionPrefix(kept), service});
+  std::optional<std::vector<platform::WorkspaceEntry>> workspaces;
+  if (m_options.has_workspaces)
+    workspaces.emplace();
+  for (const char* const name : kWorkspaces) {
+    if (!workspaces)
+      break;
+    platform::WorkspaceEntry workspace{name, {PermanentKey(name)}};
+    for (std::uint64_t from = version;
+         from > 0 && from + kVersionsOfAKey > version; --from)
+      workspace.keys.push_back(KeyFrom(name, from));
+    workspaces->push_back(std::move(workspace));
+  }
   return platform::OperatorDocument(version, routes,
-                                    {kServices.begin(), kServices.end()});
+                                    {kServices.begin(), kServices.end()},
+                                    /*cold_rate=*/0, workspaces);
 }
 
 std::string SoakRun::FormatStatistics(const SoakRecord& record) {
--- a/source/soak/soak_run.h
+++ b/source/soak/soak_run.h
@@ -30,6 +30,9 @@
   bool is_without_faults = false;
   // Servers state request rates and leave in their answers.
   bool has_notices = true;
+  // Clients send keys, which are withdrawn and added with each new version of
+  // the routes.
+  bool has_workspaces = false;
   // The number of calls in flight at each node at any moment.
   std::size_t calls_per_node = 3;
   std::string program;
@@ -107,6 +110,9 @@
   void WaitForRecovery();
   void EndFleet();
   void MakeCall(platform::ClientCall& call);
+  std::string DrawKey();
+  // The key of calls that must be served.
+  std::string ServedKey() const;
   std::string RoutesDocument() const;
   std::string FormatStatistics(const SoakRecord& record);
 
@@ -114,6 +120,9 @@
   std::unique_ptr<platform::NodeFleet> m_fleet;
   // The random source of the traffic; the schedule has its own.
   SeededRandomSource m_random;
+  // The random source of the keys, so that the rest of the traffic does not
+  // depend on them.
+  SeededRandomSource m_key_random;
   std::priority_queue<ScheduledAction,
                       std::vector<ScheduledAction>,
                       std::greater<>>
