Hold the first document with keys until a peer has reported

A process that started after the table had been restored from an older copy applied the older document until its peers had told it about theirs: it accepted withdrawn keys and refused valid ones with 401. A first document that has workspaces now waits until a live peer has reported its revision and no newer one is known, for at most 1.5 s; not if the table has no rows of other members. Documents without workspaces are applied as before.

--- a/source/core/node_logic/node.cc
+++ b/source/core/node_logic/node.cc
@@ -217,7 +217,7 @@
        m_watch_duty.NextChange(m_event_time), m_limiter.NextWakeup(),
        m_quarantine.NextWakeup(), m_claims.NextWakeup(), SweepWakeup(),
        m_owner.NextWakeup(), m_probes.NextWakeup(), m_entry.NextWakeup(),
-       m_next_revision_query});
+       m_next_revision_query, m_first_document_due.value_or(TimePoint::max())});
 }
 
 // With a routing document no request has an idempotency key, so there are no
--- a/source/core/node_logic/node.h
+++ b/source/core/node_logic/node.h
@@ -107,6 +107,10 @@
   void ApplyNewestRevision(TimePoint now);
   void ApplyDirectoryChanges(TimePoint now);
   void ApplyRouteDocument(TimePoint now);
+  // Whether a document that this process applies first may be older than that
+  // of its peers.
+  bool MayFirstDocumentBeOld() const;
+  void ApplyHeldDocument(TimePoint now);
   void ApplyEvacuationContract(TimePoint now, const Contract* contract);
   void ApplyEvacuations(TimePoint now);
   void ApplyTargetNotices(TimePoint now);
@@ -159,6 +163,9 @@
   // by the number of member rows.
   bool m_has_set_peer_expectation = false;
   bool m_was_table_available = true;
+  // When the first document is applied at the latest; empty unless it is held
+  // until peers have reported theirs.
+  std::optional<TimePoint> m_first_document_due;
   // The evacuated zones that the router and the owner currently use.
   std::optional<std::vector<AvailabilityZone>> m_evacuated;
   TableEpoch m_epoch;
--- a/source/core/node_logic/node_updates.cc
+++ b/source/core/node_logic/node_updates.cc
@@ -31,6 +31,10 @@
 constexpr std::size_t kMembersPerQuery = 16;
 constexpr Duration kMaxRevisionQueryTime = std::chrono::seconds(10);
 
+// How long the first document waits for a peer's report. A new node joins
+// within some hundred milliseconds if a peer is reachable.
+constexpr Duration kMaxFirstDocumentHold = std::chrono::milliseconds(1500);
+
 }  // namespace
 
 void Node::PropagateChanges(TimePoint now) {
@@ -44,6 +48,7 @@
   ApplyTargetNotices(now);
   ApplyMemberChanges(now);
   ApplyNewestRevision(now);
+  ApplyHeldDocument(now);
   m_config_sync.SetWatchDuty(now, m_watch_duty.IsOnDuty(now));
   QueryMemberRevisions(now);
   TakeBroadcasts(now);
@@ -269,6 +274,34 @@
   m_evacuations.OnRead(now, read);
 }
 
+bool Node::MayFirstDocumentBeOld() const {
+  const std::optional<std::size_t> rows = m_directory.rows_found();
+  if (!rows)
+    return true;
+  if (*rows == 0)
+    return false;
+  const std::vector<const Member*> live = m_membership.table().Live();
+  const bool has_report =
+      std::any_of(live.begin(), live.end(), [this](const Member* member) {
+        return member->id != m_settings.id && member->revision > Revision(0);
+      });
+  return !has_report || m_config_sync.newest_known() > m_contracts.revision();
+}
+
+// Load pattern: the table is restored from an older copy, and nodes are
+// restarted. A new process reads the older document before it has heard of its
+// peers' newer one, and accepts withdrawn keys or refuses valid ones until
+// then.
+void Node::ApplyHeldDocument(TimePoint now) {
+  if (!m_first_document_due)
+    return;
+  if (now < *m_first_document_due && MayFirstDocumentBeOld())
+    return;
+  m_first_document_due = now;
+  ApplyRouteDocument(now);
+  m_first_document_due.reset();
+}
+
 void Node::ApplyRouteDocument(TimePoint now) {
   const std::string* const text = m_contracts.RouteDocumentText();
   if (!text || !m_decoder)
@@ -283,6 +316,18 @@
     return;
   }
   auto& document = std::get<RouteDocument>(decoded);
+  // Without workspaces, an older document is better than none.
+  const bool is_first_with_keys =
+      !m_routes.is_known() && document.config.workspaces;
+  if (is_first_with_keys && MayFirstDocumentBeOld()) {
+    if (!m_first_document_due) {
+      m_first_document_due = now + kMaxFirstDocumentHold;
+      LogLine(LogLevel::kInfo, "routes.held")
+          .Add("revision", document.revision);
+    }
+    if (now < *m_first_document_due)
+      return;
+  }
   LogLine(LogLevel::kInfo, "routes.in_force")
       .Add("revision", document.revision)
       .Add("routes", document.config.routes.size())
--- a/source/unit_tests/core/node_logic/workspace_keys_test.cc
+++ b/source/unit_tests/core/node_logic/workspace_keys_test.cc
@@ -181,6 +181,39 @@
   EXPECT_EQ(CountOf("b", Reason::kNone), kNodes);
 }
 
+// Failure: the table is restored from an older copy, and nodes are restarted. A
+// new process accepts withdrawn keys, and refuses valid ones, until its peers
+// have told it about the newer document.
+TEST_F(WorkspaceKeysTest, NodesRestartedAfterARestoreReturnNoKey) {
+  const InMemoryTable copy = m_fleet.table().table();
+  m_fleet.WriteDocument("2 b:one d:two");
+  m_fleet.Run(kApplyTime);
+  m_fleet.RestoreTable(copy);
+  m_fleet.Run(1s);
+  for (std::size_t node = 0; node < kNodes * 6 / 10; ++node)
+    m_fleet.Kill(node);
+  std::size_t wrong = 0;
+  for (const TimePoint end = m_fleet.now() + 6s; m_fleet.now() < end;) {
+    m_fleet.Run(50ms);
+    for (std::size_t node = 0; node < kNodes; ++node) {
+      if (m_fleet.has_exited(node))
+        continue;
+      wrong += Send(node, "a") == Reason::kNone ? 1 : 0;
+      wrong += Send(node, "d") == Reason::kUnknownKey ? 1 : 0;
+    }
+  }
+  EXPECT_EQ(wrong, 0U);
+  EXPECT_EQ(CountOf("d", Reason::kNone), kNodes);
+}
+
+// Guards against a fleet that starts together and waits for its peers' reports
+// until the time limit.
+TEST_F(WorkspaceKeysTest, AFleetThatStartsTogetherServesSoon) {
+  m_fleet.RestartAll(500ms);
+  EXPECT_TRUE(m_fleet.RunUntil(
+      [this] { return CountOf("a", Reason::kNone) == kNodes; }, 4s));
+}
+
 // Guards against a faulty document that withdraws or adds keys.
 TEST_F(WorkspaceKeysTest, AFaultyDocumentChangesNothing) {
   m_fleet.WriteDocument("bad b:one");
