Let watchers check the table if keys depend on it

In a small fleet nearly all nodes watch. With workspaces in the document, watchers now check as well.

--- a/source/core/contracts/config_sync.cc
+++ b/source/core/contracts/config_sync.cc
@@ -163,7 +163,7 @@
     const bool is_first_schedule =
         m_reader->can_watch() && m_poll_interval == Duration::zero();
     SchedulePoll(now);
-    if (!is_first_schedule && !m_is_on_duty)
+    if (!is_first_schedule && (!m_is_on_duty || m_do_watchers_check))
       ReadTable(now);
   }
 }
--- a/source/core/contracts/config_sync.h
+++ b/source/core/contracts/config_sync.h
@@ -100,6 +100,11 @@
   // other nodes.
   void SetWatchDuty(TimePoint now, bool is_on_duty);
 
+  // If the table can be watched: whether watchers take part in the periodic
+  // checks of the table. A watch whose response is lost reports no change until
+  // its time limit, and in a small fleet nearly all nodes are watchers.
+  void SetWatchersCheck(bool do_check) { m_do_watchers_check = do_check; }
+
   // Reports whether peers are likely to exist; called shortly after the start.
   // Until then a new node waits up to initial_table_delay before it reads the
   // table.
@@ -252,6 +257,7 @@
   std::uint32_t m_table_failures = 0;
 
   bool m_is_on_duty = false;
+  bool m_do_watchers_check = false;
   bool m_is_watching = false;
   // The last response of the table was valid.
   bool m_is_table_available = true;
--- a/source/core/node_logic/node_updates.cc
+++ b/source/core/node_logic/node_updates.cc
@@ -334,6 +334,8 @@
       .Add("services", document.config.services.size())
       .Add("workspaces",
            document.config.workspaces ? document.config.workspaces->size() : 0);
+  // Withdrawn keys must be refused soon although a change is missed.
+  m_config_sync.SetWatchersCheck(document.config.workspaces.has_value());
   m_actions.Push(SetCallerBounds{document.config.callers});
   m_routes.Replace(std::move(document.config));
   m_owner.OnRoutesChanged(now);
--- a/source/unit_tests/core/node_logic/workspace_keys_test.cc
+++ b/source/unit_tests/core/node_logic/workspace_keys_test.cc
@@ -11,6 +11,7 @@
 
 #include <gtest/gtest.h>
 
+#include "core/contracts/operator_document_reader.h"
 #include "unit_tests/core/node_logic/fleet.h"
 
 namespace bulrushmount {
@@ -151,6 +152,32 @@
   EXPECT_EQ(CountOf("b", Reason::kNone), kNodes);
 }
 
+// Failure: the responses of all watches to a change are lost, and the watches
+// report nothing until they end after 25 s. In a fleet of four, all nodes
+// watch.
+TEST(SmallFleetKeysTest, AWithdrawalIsFoundWithoutWatches) {
+  const KeyDocumentDecoder decoder;
+  FleetOptions options;
+  options.services.assign(4, "desk");
+  options.decoder = &decoder;
+  options.document = "1 a:one";
+  options.settings.has_route_document = true;
+  Fleet fleet(options, kSeed);
+  fleet.Run(8s);
+  // Changes the row without a response to open watches.
+  TableTransact document;
+  document.puts = {{kOperatorDocumentRow, "2 b:one"}};
+  fleet.table().table().Apply(document);
+  fleet.Run(10s);
+  for (std::size_t node = 0; node < fleet.size(); ++node) {
+    CallHead head = fleet.MakeHead("", "GET", "/read/1");
+    head.host = "desk.example";
+    head.key = KeyDigest::Of("a");
+    const std::size_t call = fleet.Send(node, std::move(head));
+    EXPECT_EQ(fleet.calls()[call].reason, Reason::kUnknownKey) << node;
+  }
+}
+
 // Guards against 401 for a valid key at nodes that have just started, and
 // against nodes that start with an older document.
 TEST_F(WorkspaceKeysTest, RestartedNodesNeverRefuseAValidKeyAsUnknown) {
