Let token buckets take owed units and take units back

A bucket that was full since the grant takes none back: the refill that it lost would also have been lost with these units. Refill ignores a clock that reads earlier than before.

Also make the score of rendezvous hashing public, for callers that need the second member as well, and let the simulated network cut single links.

--- a/source/core/limits/rendezvous.cc
+++ b/source/core/limits/rendezvous.cc
@@ -10,26 +10,22 @@
 
 namespace bulrushmount {
 
-namespace {
-
-std::uint64_t Score(std::uint64_t key, NodeId node) {
-  const std::array<std::uint64_t, 2> input = {key, node.value()};
-  return XXH3_64bits(input.data(), sizeof(input));
-}
-
-}  // namespace
-
 WorkspaceKey KeyOf(const WorkspaceName& workspace) {
   const std::string& name = workspace.value();
   return WorkspaceKey(XXH3_64bits(name.data(), name.size()));
 }
 
+std::uint64_t RendezvousScore(std::uint64_t key, NodeId node) {
+  const std::array<std::uint64_t, 2> input = {key, node.value()};
+  return XXH3_64bits(input.data(), sizeof(input));
+}
+
 const Peer* RendezvousHome(const std::vector<Peer>& members,
                            std::uint64_t key) {
   const Peer* best = nullptr;
   std::uint64_t best_score = 0;
   for (const Peer& member : members) {
-    const std::uint64_t score = Score(key, member.id);
+    const std::uint64_t score = RendezvousScore(key, member.id);
     if (best == nullptr || score > best_score ||
         (score == best_score && member.id > best->id)) {
       best = &member;
--- a/source/core/limits/rendezvous.h
+++ b/source/core/limits/rendezvous.h
@@ -29,6 +29,9 @@
 
 WorkspaceKey KeyOf(const WorkspaceName& workspace);
 
+// The member with the highest score of a key is its home.
+std::uint64_t RendezvousScore(std::uint64_t key, NodeId node);
+
 // Returns the home of `key`, or null if `members` is empty. Takes time linear
 // in `members`, so callers cache the result until the members change.
 const Peer* RendezvousHome(const std::vector<Peer>& members, std::uint64_t key);
--- a/source/core/limits/token_bucket.h
+++ b/source/core/limits/token_bucket.h
@@ -28,6 +28,17 @@
 
   void Fill();
 
+  // Sets the level, which may be negative, capped at the burst.
+  void SetLevel(TimePoint now, double level);
+
+  // Takes `units` whatever the level is; the refill pays off a debt.
+  void TakeOwed(TimePoint now, double units);
+
+  // Gives back units that were taken at `taken_at` or later and not used. Has
+  // no effect if the bucket has been full since: it then lost refill that it
+  // would also have lost with these units.
+  void GiveBack(TimePoint now, TimePoint taken_at, double units);
+
   double Level(TimePoint now);
 
  private:
@@ -38,6 +49,8 @@
   // At most m_burst; negative while in debt.
   double m_level;
   TimePoint m_refilled_at;
+  // When refill was last lost because the bucket was full.
+  TimePoint m_full_at;
 };
 
 }  // namespace bulrushmount
--- a/source/unit_tests/core/limits/datagram_network.h
+++ b/source/unit_tests/core/limits/datagram_network.h
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -57,6 +58,9 @@
   // Datagrams between nodes of different sides are lost.
   void SetSide(std::size_t index, int side) { m_sides[index] = side; }
   int SideOf(std::size_t index) const { return m_sides[index]; }
+  // Datagrams from one node to another are lost if `is_cut` returns true.
+  using LinkFilter = std::function<bool(std::size_t from, std::size_t to)>;
+  void SetLinkFilter(LinkFilter is_cut) { m_is_cut = std::move(is_cut); }
   // Datagrams to a frozen node wait in its socket.
   void SetFrozen(std::size_t index, bool frozen) { m_frozen[index] = frozen; }
   bool IsFrozen(std::size_t index) const { return m_frozen[index]; }
@@ -113,6 +117,8 @@
     m_sent_bytes += payload.size();
     m_largest = std::max(m_largest, payload.size());
     m_sent_by[from] += payload.size() + kHeaders;
+    if (m_is_cut && m_is_cut(from, to))
+      return;
     if (m_sides[from] != m_sides[to] || m_random.Fraction() < m_faults.loss)
       return;
     const int copies = m_random.Fraction() < m_faults.repeat ? 2 : 1;
@@ -129,6 +135,7 @@
   TimePoint m_now;
   std::vector<std::unique_ptr<Port>> m_ports;
   std::vector<int> m_sides;
+  LinkFilter m_is_cut;
   std::vector<bool> m_frozen;
   std::multimap<TimePoint, QueuedDatagram> m_queue;
   std::uint64_t m_sent = 0;
--- a/source/unit_tests/core/limits/token_bucket_test.cc
+++ b/source/unit_tests/core/limits/token_bucket_test.cc
@@ -67,5 +67,37 @@
   EXPECT_EQ(bucket.Level(start), 2);
 }
 
+TEST(TokenBucketDebtTest, PaysOffUnitsTakenWithoutCredit) {
+  const TimePoint start{std::chrono::hours(1)};
+  TokenBucket bucket(start, 2, 10);
+  bucket.SetLevel(start, 1);
+  bucket.TakeOwed(start, 4);
+  EXPECT_EQ(bucket.Level(start), -3);
+  EXPECT_FALSE(bucket.TryTake(start + FromSeconds(1.5), 1));
+  EXPECT_TRUE(bucket.TryTake(start + FromSeconds(2), 1));
+}
+
+// Guards against units that are given back after the bucket has been full: with
+// them, more than the burst could be taken at once.
+TEST(TokenBucketGiveBackTest, GivesBackUnlessTheBucketWasFullSince) {
+  const TimePoint start{std::chrono::hours(1)};
+  const TimePoint taken = start + FromSeconds(1);
+  TokenBucket bucket(start, 2, 10);
+  EXPECT_EQ(bucket.TakeUpTo(taken, 8), 8);
+  bucket.GiveBack(start + FromSeconds(2), taken + FromSeconds(0.1), 3);
+  EXPECT_EQ(bucket.Level(start + FromSeconds(2)), 7);
+  EXPECT_EQ(bucket.Level(start + FromSeconds(60)), 10);
+  EXPECT_EQ(bucket.TakeUpTo(start + FromSeconds(60), 10), 10);
+  bucket.GiveBack(start + FromSeconds(60), taken + FromSeconds(0.1), 5);
+  EXPECT_EQ(bucket.Level(start + FromSeconds(60)), 0);
+}
+
+// Guards against a clock that reads earlier than before and drains the bucket.
+TEST(TokenBucketGiveBackTest, IgnoresAnEarlierTime) {
+  const TimePoint start{std::chrono::hours(1)};
+  TokenBucket bucket(start, 100, 10);
+  EXPECT_EQ(bucket.Level(start - FromSeconds(5)), 10);
+}
+
 }  // namespace
 }  // namespace bulrushmount
