--- a/source/core/common/datagram.h
+++ b/source/core/common/datagram.h
@@ -20,6 +20,7 @@
   kLimits = 2,
   kQuarantine = 3,
   kConfig = 4,
+  kWorkspaceLimits = 5,
 };
 
 // With the byte of the kind, a datagram is at most 1,200 bytes and so fits any
--- a/source/core/node_logic/node.cc
+++ b/source/core/node_logic/node.cc
@@ -360,6 +360,8 @@
     case DatagramKind::kConfig:
       m_config_sync.OnDatagram(now, event.from, payload);
       break;
+    case DatagramKind::kWorkspaceLimits:
+      break;
   }
 }
 
