--- a/source/core/transport/operators/burn_report_collector.h
+++ b/source/core/transport/operators/burn_report_collector.h
@@ -4,33 +4,19 @@
 #ifndef BULRUSHMOUNT_CORE_TRANSPORT_OPERATORS_BURN_REPORT_COLLECTOR_H_
 #define BULRUSHMOUNT_CORE_TRANSPORT_OPERATORS_BURN_REPORT_COLLECTOR_H_
 
-#include <chrono>
-#include <cstddef>
 #include <functional>
-#include <memory>
 #include <vector>
 
 #include <boost/asio/any_io_executor.hpp>
 
 #include "core/common/endpoint.h"
-#include "core/common/time.h"
 #include "core/reporting/burn_report.h"
+#include "core/transport/operators/part_collector.h"
 #include "core/transport/peers/node_stream_client.h"
 
 namespace bulrushmount {
 
-struct BurnReportCollectorSettings {
-  // The time after which a node's part counts as missing.
-  Duration part_timeout = std::chrono::seconds(1);
-  // The time after which the report is returned without the missing parts.
-  Duration total_timeout = std::chrono::seconds(5);
-  // Nodes that are queried concurrently. Querying all 1,100 nodes of a large
-  // fleet at once would need memory for all their parts and delay the calls
-  // that this node serves.
-  std::size_t max_concurrent_requests = 16;
-  // A longer part counts as missing.
-  std::size_t max_part_bytes = std::size_t{8} << 20;
-};
+using BurnReportCollectorSettings = PartCollectorSettings;
 
 class BurnReportCollector {
  public:
@@ -53,16 +39,12 @@
   void Collect(BurnReport own, std::vector<Endpoint> peers, Done done);
 
  private:
-  class Collection;
-
-  void Finish(const BurnReport& report);
+  void Finish();
 
-  boost::asio::any_io_executor m_executor;
-  NodeStreamClient& m_client;
-  BurnReportCollectorSettings m_settings;
+  PartCollector m_parts;
   std::vector<Done> m_waiting;
-  // Set exactly while a collection is running.
-  std::shared_ptr<Collection> m_collection;
+  // The report of the running collection.
+  BurnReport m_report;
 };
 
 }  // namespace bulrushmount
