Enforce the limits of workspaces at the entries

Nodes with a routing document read the limits of its workspaces but did not apply them. A filter after the check of the key now takes a unit for each request, holds it while the home answers, and refuses it with 429, the Retry-After of the home and the cause in the log line. A request that no target has seen gives its unit back; one that is sent on after an attempt that may have reached a target takes another.

The node passes on members with their states, datagrams, contacts and the limits of the active document. Status and metrics show the use of limits. The section workspace_limits states the window, overage and slack; without it the limits of the document hold exactly.

--- a/source/core/node_logic/entry_side.cc
+++ b/source/core/node_logic/entry_side.cc
@@ -8,6 +8,7 @@
 #include "core/common/logging.h"
 #include "core/pipeline/claim_filter.h"
 #include "core/pipeline/contract_filter.h"
+#include "core/pipeline/fleet_limit_filter.h"
 #include "core/pipeline/limit_filter.h"
 #include "core/pipeline/quarantine_filter.h"
 #include "core/pipeline/retry_after_policy.h"
@@ -60,7 +61,7 @@
       m_dispatcher(MakeDispatcherSettings(settings),
                    Dispatcher::Parts{m_pipeline, parts.router, *m_retries,
                                      parts.claims, parts.notices, parts.owners,
-                                     parts.random, parts.actions}),
+                                     parts.random, parts.actions, this}),
       m_has_route_document(settings.has_route_document),
       m_has_retry_after_policy(settings.policies.retry_after) {
   AddFilters(settings);
@@ -110,6 +111,11 @@
   Record(now, call, end);
 }
 
+void EntrySide::OnRepeated(TimePoint now, const Call& call) {
+  if (m_has_route_document && !call.head.workspace.value().empty())
+    m_parts.fleet_limiter.TakeOwed(now, call.head.workspace);
+}
+
 // Cheap checks without side effects run first; filters that acquire something
 // or write to the table run last.
 void EntrySide::AddFilters(const NodeSettings& settings) {
@@ -118,6 +124,8 @@
         m_parts.routes, m_pipeline,
         WorkspaceCheck(m_parts.confirmation, settings.max_unconfirmed_document),
         settings.policies.retry_detector));
+    m_pipeline.AddFilter(
+        std::make_unique<FleetLimitFilter>(m_parts.fleet_limiter, m_pipeline));
   } else {
     m_pipeline.AddFilter(
         std::make_unique<ContractFilter>(m_parts.contracts, m_pipeline));
@@ -149,8 +157,9 @@
   if (call.answer_begun_at)
     m_parts.actions.Push(AbortAnswer{call.id});
   else
-    m_parts.actions.Push(AnswerCaller{call.id, end.outcome, end.reason,
-                                      RetryAfterFor(end.reason)});
+    m_parts.actions.Push(AnswerCaller{
+        call.id, end.outcome, end.reason,
+        end.retry_after ? end.retry_after : RetryAfterFor(end.reason)});
 }
 
 std::optional<Duration> EntrySide::RetryAfterFor(Reason reason) const {
@@ -178,6 +187,8 @@
       .Add("ms", ToMilliseconds(now - call.arrived_at));
   if (!call.head.workspace.value().empty())
     line.Add("workspace", call.head.workspace);
+  if (!end.detail.empty())
+    line.Add("detail", end.detail);
   // A call that is refused before a service is selected has no deadline.
   if (call.deadline != TimePoint::max())
     line.Add("left_ms", ToMilliseconds(call.deadline - now));
--- a/source/core/node_logic/entry_side.h
+++ b/source/core/node_logic/entry_side.h
@@ -25,16 +25,18 @@
 #include "core/routing/retry_budget.h"
 #include "core/routing/router.h"
 #include "core/routing/target_notices.h"
+#include "core/workspace_limits/fleet_limiter.h"
 
 namespace bulrushmount::detail {
 
-class EntrySide : private CallSink {
+class EntrySide : private CallSink, private RepeatListener {
  public:
   struct Parts {
     const ContractStore& contracts;
     RouteTable& routes;
     const ConfirmationSource& confirmation;
     WorkspaceLimiter& limiter;
+    FleetLimiter& fleet_limiter;
     Quarantine& quarantine;
     ClaimBook& claims;
     Router& router;
@@ -80,6 +82,8 @@
   void OnPermitLost(TimePoint now, Call& call) override;
   void OnCallEnded(TimePoint now, Call& call, const CallEnd& end) override;
 
+  void OnRepeated(TimePoint now, const Call& call) override;
+
   void AddFilters(const NodeSettings& settings);
   // Retry-After of a refusal; empty: the default of the reason.
   std::optional<Duration> RetryAfterFor(Reason reason) const;
--- a/source/core/node_logic/node.cc
+++ b/source/core/node_logic/node.cc
@@ -159,6 +159,11 @@
                     now),
       m_watch_duty(WatchDutySettings(), settings.id, now),
       m_limiter(LimitsSettings(), MakePeer(settings), m_datagrams, now),
+      m_fleet_limiter(settings.workspace_limits,
+                      MakePeer(settings),
+                      random,
+                      m_datagrams,
+                      now),
       m_quarantine(MakeQuarantineSettings(settings),
                    MakePeer(settings),
                    m_datagrams,
@@ -167,6 +172,7 @@
       m_claims(ClaimSettings(), m_table, random, AnchorAt(now)),
       m_claim_sweeper(SweepSettings(), m_table, random, now, AnchorAt(now)),
       m_recorder(now, kMaxReportSeries),
+      m_workspace_metrics(m_registry),
       m_metrics(m_registry),
       m_router([picker = MakePickerSettings(settings)] {
         return std::make_unique<PowerOfChoicesPicker>(picker);
@@ -181,9 +187,9 @@
       m_probes(settings.id, MakeMeasuringSettings(settings), random),
       m_entry(settings,
               EntrySide::Parts{m_contracts, m_routes, m_config_sync, m_limiter,
-                               m_quarantine, m_claims, m_router, m_notices,
-                               m_recorder, m_metrics, *this, random, m_actions,
-                               m_event_time}) {
+                               m_fleet_limiter, m_quarantine, m_claims,
+                               m_router, m_notices, m_recorder, m_metrics,
+                               *this, random, m_actions, m_event_time}) {
   m_contracts.AddListener(this);
 }
 
@@ -215,9 +221,10 @@
       {leave_step, m_membership.NextWakeup(), m_directory.NextWakeup(),
        m_contract_writer.NextWakeup(), m_config_sync.NextWakeup(),
        m_watch_duty.NextChange(m_event_time), m_limiter.NextWakeup(),
-       m_quarantine.NextWakeup(), m_claims.NextWakeup(), SweepWakeup(),
-       m_owner.NextWakeup(), m_probes.NextWakeup(), m_entry.NextWakeup(),
-       m_next_revision_query, m_first_document_due.value_or(TimePoint::max())});
+       m_fleet_limiter.NextWakeup(), m_quarantine.NextWakeup(),
+       m_claims.NextWakeup(), SweepWakeup(), m_owner.NextWakeup(),
+       m_probes.NextWakeup(), m_entry.NextWakeup(), m_next_revision_query,
+       m_first_document_due.value_or(TimePoint::max())});
 }
 
 // With a routing document no request has an idempotency key, so there are no
@@ -344,6 +351,7 @@
 void Node::On(TimePoint now, const DatagramArrived& event) {
   if (event.bytes.empty())
     return;
+  m_fleet_limiter.OnPeerContact(now);
   const std::string_view payload =
       std::string_view(event.bytes).substr(sizeof(DatagramKind));
   switch (static_cast<DatagramKind>(event.bytes.front())) {
@@ -361,6 +369,7 @@
       m_config_sync.OnDatagram(now, event.from, payload);
       break;
     case DatagramKind::kWorkspaceLimits:
+      m_fleet_limiter.OnDatagram(now, event.from, payload);
       break;
   }
 }
@@ -382,6 +391,7 @@
   m_contract_writer.OnTimer(now);
   m_config_sync.OnTimer(now);
   m_limiter.OnTimer(now);
+  m_fleet_limiter.OnTimer(now);
   m_quarantine.OnTimer(now);
   m_claims.OnTimer(now);
   if (!m_decoder)
--- a/source/core/node_logic/node.h
+++ b/source/core/node_logic/node.h
@@ -30,10 +30,13 @@
 #include "core/reporting/call_recorder.h"
 #include "core/reporting/metrics_page.h"
 #include "core/reporting/traffic_metrics.h"
+#include "core/reporting/workspace_metrics.h"
+#include "core/reporting/workspace_report.h"
 #include "core/routes/route_document.h"
 #include "core/routes/route_table.h"
 #include "core/routing/router.h"
 #include "core/routing/target_notices.h"
+#include "core/workspace_limits/fleet_limiter.h"
 
 namespace bulrushmount::detail {
 
@@ -55,6 +58,7 @@
   std::string MetricsText(TimePoint now) const;
   BurnReport BurnSnapshot(TimePoint now) { return m_recorder.Snapshot(now); }
   std::vector<Endpoint> PeerStreams() const;
+  WorkspaceReport WorkspaceSnapshot(TimePoint now) const;
 
  private:
   const Member* FindOwner(NodeId node) const override;
@@ -103,6 +107,7 @@
   void RunProbes(TimePoint now);
   void UpdateFleetSize();
   void UpdateMembers(TimePoint now);
+  void UpdateFleetLimiter(TimePoint now);
   void UpdateConfigSync(TimePoint now, const Member& member);
   void ApplyNewestRevision(TimePoint now);
   void ApplyDirectoryChanges(TimePoint now);
@@ -145,12 +150,15 @@
   ConfigSync m_config_sync;
   WatchDuty m_watch_duty;
   WorkspaceLimiter m_limiter;
+  FleetLimiter m_fleet_limiter;
   Quarantine m_quarantine;
   ClaimBook m_claims;
   ClaimSweeper m_claim_sweeper;
   CallRecorder m_recorder;
   // Mutable because gauges are set when the page is rendered.
   mutable MetricsRegistry m_registry;
+  // Mutable for the same reason.
+  mutable WorkspaceMetrics m_workspace_metrics;
   TrafficMetrics m_metrics;
   Router m_router;
   TargetNotices m_notices;
--- a/source/core/node_logic/node_logic.cc
+++ b/source/core/node_logic/node_logic.cc
@@ -45,6 +45,10 @@
   return m_node->MetricsText(now);
 }
 
+WorkspaceReport NodeLogic::WorkspaceSnapshot(TimePoint now) const {
+  return m_node->WorkspaceSnapshot(now);
+}
+
 BurnReport NodeLogic::BurnSnapshot(TimePoint now) {
   return m_node->BurnSnapshot(now);
 }
--- a/source/core/node_logic/node_logic.h
+++ b/source/core/node_logic/node_logic.h
@@ -16,6 +16,7 @@
 #include "core/node_logic/node_logic_interface.h"
 #include "core/node_logic/node_settings.h"
 #include "core/reporting/burn_report.h"
+#include "core/reporting/workspace_report.h"
 #include "core/routes/route_document.h"
 
 namespace bulrushmount {
@@ -50,6 +51,8 @@
   // Content of the `/metrics` page in the Prometheus text format.
   std::string MetricsText(TimePoint now) const;
   // The burn report of this node.
+  // Use of the limits of workspaces whose home is this node.
+  WorkspaceReport WorkspaceSnapshot(TimePoint now) const;
   BurnReport BurnSnapshot(TimePoint now);
   // Stream endpoints of the other live members, for collecting their burn
   // reports.
--- a/source/core/node_logic/node_pages.cc
+++ b/source/core/node_logic/node_pages.cc
@@ -112,6 +112,14 @@
   return streams;
 }
 
+WorkspaceReport Node::WorkspaceSnapshot(TimePoint now) const {
+  WorkspaceReport report;
+  report.window = m_settings.workspace_limits.window;
+  report.uses = m_fleet_limiter.Uses(now);
+  report.nodes = 1;
+  return report;
+}
+
 std::string Node::StatusJson(TimePoint now) const {
   boost::json::array members;
   for (const Member* member : m_membership.table().Live())
@@ -141,6 +149,7 @@
       {"works", m_owner.size()},
       {"target", ToToken(m_owner.life().state())},
       {"load", ToJson(m_owner.LoadAt(now))},
+      {"workspaces", ToJsonArray(m_fleet_limiter.Uses(now))},
       {"members", std::move(members)},
   };
   return boost::json::serialize(status) + "\n";
@@ -177,6 +186,8 @@
   AddClaims(registry, m_claims.stats());
   RaiseCounter(registry, "bulrushmount_probes_total",
                "Probes of the target beside.", m_probes_sent);
+  m_workspace_metrics.Update(m_fleet_limiter.Counters(),
+                             m_fleet_limiter.Largest(kMaxWorkspaceSeries));
   return registry.Page();
 }
 
--- a/source/core/node_logic/node_settings.h
+++ b/source/core/node_logic/node_settings.h
@@ -13,6 +13,7 @@
 #include "core/common/ids.h"
 #include "core/common/time.h"
 #include "core/node_logic/policy_switches.h"
+#include "core/workspace_limits/workspace_limits_settings.h"
 
 namespace bulrushmount {
 
@@ -92,6 +93,9 @@
   // not been confirmed as the newest for this long; empty: they are served.
   std::optional<Duration> max_unconfirmed_document;
 
+  // Tolerance of the limits of workspaces over the fleet.
+  WorkspaceLimitsSettings workspace_limits;
+
   PolicySwitches policies;
 
   // Retry budget of the fleet: in any window of this length, hand-overs to
--- a/source/core/node_logic/node_updates.cc
+++ b/source/core/node_logic/node_updates.cc
@@ -60,8 +60,10 @@
 void Node::ApplyDirectoryChanges(TimePoint now) {
   const std::optional<std::size_t> rows = m_directory.rows_found();
   if (rows && !std::exchange(m_has_set_peer_expectation, true)) {
-    m_config_sync.OnPeersExpected(
-        now, *rows >= MemberDirectorySettings{}.wanted_rows);
+    const bool has_peers = *rows >= MemberDirectorySettings{}.wanted_rows;
+    m_config_sync.OnPeersExpected(now, has_peers);
+    if (has_peers)
+      m_fleet_limiter.ExpectPeers();
   }
   const bool was_available =
       std::exchange(m_was_table_available, m_config_sync.is_table_available());
@@ -72,14 +74,18 @@
 void Node::ApplyMemberChanges(TimePoint now) {
   const std::vector<MemberChange> changes = m_membership.TakeChanges();
   bool has_peers_changed = false;
+  bool has_state_changed = false;
   for (const MemberChange& change : changes) {
     ApplyMemberChange(now, change);
     const bool is_live = IsLive(change.member.state);
     has_peers_changed |= change.kind != MemberChangeKind::kUpdated ||
                          is_live != IsLive(change.before);
+    has_state_changed |= change.member.state != change.before;
   }
   if (has_peers_changed)
     UpdateMembers(now);
+  if (has_peers_changed || has_state_changed)
+    UpdateFleetLimiter(now);
   if (!changes.empty())
     UpdateFleetSize();
 }
@@ -215,6 +221,19 @@
   m_quarantine.SetMembers(now, std::move(peers));
 }
 
+void Node::UpdateFleetLimiter(TimePoint now) {
+  const MemberTable& table = m_membership.table();
+  std::vector<FleetMember> live;
+  for (const Member* member : table.Live()) {
+    live.push_back({Peer{member->id, member->gossip_endpoint},
+                    member->state == MemberState::kSuspect});
+  }
+  std::vector<Peer> dead;
+  for (const Member* member : table.Dead())
+    dead.push_back(Peer{member->id, member->gossip_endpoint});
+  m_fleet_limiter.SetMembers(now, live, dead);
+}
+
 void Node::UpdateFleetSize() {
   const std::optional<TargetSummary> target = m_owner.life().Summary();
   FleetSize size;
@@ -337,7 +356,14 @@
   // Withdrawn keys must be refused soon although a change is missed.
   m_config_sync.SetWatchersCheck(document.config.workspaces.has_value());
   m_actions.Push(SetCallerBounds{document.config.callers});
+  std::vector<NamedRate> rates;
+  for (const Workspace& workspace :
+       document.config.workspaces.value_or(std::vector<Workspace>())) {
+    rates.push_back(
+        {workspace.name, {workspace.units_per_second, workspace.burst_units}});
+  }
   m_routes.Replace(std::move(document.config));
+  m_fleet_limiter.SetLimits(now, std::move(rates));
   m_owner.OnRoutesChanged(now);
 }
 
--- a/source/core/pipeline/call.h
+++ b/source/core/pipeline/call.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <limits>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 #include "core/claims/claim_types.h"
@@ -72,6 +73,9 @@
   std::uint32_t attempts_made = 0;
   // Attempts that reached a target or may have reached one.
   std::uint32_t hand_overs = 0;
+  // Hand-overs for which the workspace has been charged; the first one when the
+  // call was admitted.
+  std::uint32_t charged_hand_overs = 1;
   std::vector<NodeId> tried;
   // Owners in `tried` that refused only because their target was too slow.
   OfferList offers;
@@ -102,6 +106,10 @@
   // The answer is replayed from an earlier request with the same idempotency
   // key.
   bool is_replay = false;
+  // Sent to the caller instead of the default of the reason.
+  std::optional<Duration> retry_after{};
+  // For the log line: what the reason was decided on. Static text.
+  std::string_view detail{};
 };
 
 }  // namespace bulrushmount
--- a/source/core/pipeline/dispatcher.cc
+++ b/source/core/pipeline/dispatcher.cc
@@ -273,6 +273,11 @@
                       Call& call,
                       const Member& owner,
                       bool is_selective) {
+  if (call.hand_overs >= call.charged_hand_overs) {
+    call.charged_hand_overs = call.hand_overs + 1;
+    if (m_parts.repeats)
+      m_parts.repeats->OnRepeated(now, call);
+  }
   ++call.attempts_made;
   if (is_selective)
     ++call.selective_attempts;
--- a/source/core/pipeline/dispatcher.h
+++ b/source/core/pipeline/dispatcher.h
@@ -40,6 +40,17 @@
   virtual const Member* FindOwner(NodeId node) const = 0;
 };
 
+// Is notified of calls that are sent to an owner after an attempt that has
+// reached a target, or may have: their target may be the second one to which
+// the request is forwarded.
+class RepeatListener {
+ public:
+  virtual ~RepeatListener() = default;
+
+  // Called once for each such attempt that may add a hand-over.
+  virtual void OnRepeated(TimePoint now, const Call& call) = 0;
+};
+
 struct DispatcherSettings {
   NodeId self;
   AvailabilityZone zone;
@@ -78,6 +89,8 @@
     const OwnerDirectory& owners;
     RandomSource& random;
     ActionSink& actions;
+    // May be null.
+    RepeatListener* repeats = nullptr;
   };
 
   // The parts must outlive the object.
--- a/source/core/settings/daemon_settings.cc
+++ b/source/core/settings/daemon_settings.cc
@@ -273,6 +273,19 @@
   map.Finish();
 }
 
+void ReadWorkspaceLimits(const YamlNode* node,
+                         WorkspaceLimitsSettings& limits,
+                         YamlFaults& faults) {
+  if (node == nullptr)
+    return;
+  YamlMapReader map(*node, faults);
+  Assign(ReadDuration(map.Required("window"), {seconds(1), minutes(1)}, faults),
+         limits.window);
+  Assign(ReadNumber(map.Optional("overage"), {0, 100}, faults), limits.overage);
+  Assign(ReadNumber(map.Optional("slack"), {0, 1e6}, faults), limits.slack);
+  map.Finish();
+}
+
 std::optional<LogLevel> ReadLogLevel(const YamlNode* node, YamlFaults& faults) {
   const std::optional<std::string> text = ReadText(node, faults);
   if (!text.has_value())
@@ -310,6 +323,8 @@
       ReadZones(map.Optional("known_availability_zones"), faults);
   ReadColdStart(map.Optional("cold_start"), settings.node.cold_start, faults);
   ReadWorkspaceKeys(map.Optional("workspace_keys"), settings.node, faults);
+  ReadWorkspaceLimits(map.Optional("workspace_limits"),
+                      settings.node.workspace_limits, faults);
   settings.node.region =
       Region(ReadName(map.Required("region"), faults).value_or(""));
   settings.node.stream_endpoint =
--- a/source/core/workspace_limits/fleet_limiter.cc
+++ b/source/core/workspace_limits/fleet_limiter.cc
@@ -84,6 +84,9 @@
   Begin(now);
   m_rates.Replace(std::move(rates), m_settings.window);
   m_home.OnRatesChanged(now);
+  std::erase_if(m_dropped, [this](const auto& item) {
+    return m_rates.Find(item.first) == nullptr;
+  });
   Finish(now);
 }
 
@@ -177,9 +180,13 @@
 
 std::vector<WorkspaceCounters> FleetLimiter::Counters() const {
   std::vector<WorkspaceCounters> all;
-  all.reserve(m_entries.size());
+  all.reserve(m_entries.size() + m_dropped.size());
   for (const auto& [key, entry] : m_entries)
     all.push_back({entry->workspace, entry->account.counters()});
+  for (const auto& [key, counters] : m_dropped) {
+    if (const detail::ActiveRate* const active = m_rates.Find(key))
+      all.push_back({active->workspace, counters});
+  }
   return all;
 }
 
@@ -275,9 +282,12 @@
   std::unique_ptr<Entry>& entry = m_entries[key];
   if (!entry) {
     const detail::HomeAndDeputy place = m_view.Find(key);
-    entry = std::make_unique<Entry>(
-        Entry{workspace, Account(key, m_settings, m_random, *this, now),
-              place.home->id, place.deputy ? place.deputy->id : NodeId()});
+    const auto dropped = m_dropped.extract(key);
+    const UnitCounters counters =
+        dropped.empty() ? UnitCounters() : dropped.mapped();
+    entry = std::make_unique<Entry>(Entry{
+        workspace, Account(key, m_settings, m_random, *this, counters, now),
+        place.home->id, place.deputy ? place.deputy->id : NodeId()});
     m_next_sweep = std::min(m_next_sweep, now + kSweepPeriod);
   }
   return *entry;
@@ -359,7 +369,11 @@
 
 void FleetLimiter::DropUnused(TimePoint now) {
   std::erase_if(m_entries, [&](const auto& item) {
-    return item.second->account.IsUnused(now);
+    const Account& account = item.second->account;
+    const bool is_unused = account.IsUnused(now);
+    if (is_unused && m_rates.Find(item.first))
+      m_dropped.emplace(item.first, account.counters());
+    return is_unused;
   });
   std::erase_if(m_relays,
                 [&](const auto& item) { return now >= item.second.until; });
--- a/source/core/workspace_limits/fleet_limiter.h
+++ b/source/core/workspace_limits/fleet_limiter.h
@@ -104,9 +104,16 @@
   TimePoint NextWakeup() const;
 
   // Use of the limits of workspaces whose home is this node.
-  std::vector<WorkspaceUse> Uses(TimePoint now) { return m_home.Uses(now); }
-  // Workspaces with recent calls at this entry.
+  std::vector<WorkspaceUse> Uses(TimePoint now) const {
+    return m_home.Uses(now);
+  }
+  // Workspaces with calls at this entry since its start or since they have a
+  // limit.
   std::vector<WorkspaceCounters> Counters() const;
+  // The workspaces with the highest limits.
+  std::vector<WorkspaceName> Largest(std::size_t count) const {
+    return m_rates.Largest(count);
+  }
 
  private:
   using Account = detail::UnitAccount;
@@ -166,6 +173,8 @@
   std::set<std::pair<TimePoint, WorkspaceKey>> m_wakeups;
   std::unordered_map<WorkspaceKey, TimePoint> m_wakeup_of;
   TimePoint m_next_sweep = TimePoint::max();
+  // Counters of entries that were dropped.
+  std::unordered_map<WorkspaceKey, UnitCounters> m_dropped;
   std::uint64_t m_next_number = 1;
 
   // Members that forward datagrams to a home that cannot be reached directly.
--- a/source/core/workspace_limits/unit_account.cc
+++ b/source/core/workspace_limits/unit_account.cc
@@ -50,6 +50,7 @@
                          const WorkspaceLimitsSettings& settings,
                          RandomSource& random,
                          UnitAccountOutlet& outlet,
+                         const UnitCounters& counters,
                          TimePoint now)
     : m_workspace(workspace),
       m_settings(settings),
@@ -58,7 +59,8 @@
       m_returned_since(now),
       m_blocked_until(now),
       m_recent_calls(kRateTime),
-      m_last_call(now) {}
+      m_last_call(now),
+      m_counters(counters) {}
 
 UnitDecision UnitAccount::Admit(TimePoint now, CallId call) {
   m_recent_calls.Add(now, 1);
@@ -67,7 +69,7 @@
     if (const std::optional<UnitDecision> taken = TakeCredit(now))
       return *taken;
     if (now < m_blocked_until)
-      return Refuse();
+      return Refuse(UnitSource::kHomeBefore);
   }
   if (MayUseLocalUnits(now) && TakeLocal(now)) {
     // Finds out whether the home is back.
@@ -179,9 +181,10 @@
   return true;
 }
 
-UnitDecision UnitAccount::Refuse() {
+UnitDecision UnitAccount::Refuse(UnitSource source) {
   ++m_counters.refused;
   UnitDecision decision{UnitVerdict::kRefused};
+  decision.source = source;
   const Duration least =
       std::clamp(m_retry_after, kMinRetryAfter, kMaxRetryAfter / 2);
   decision.retry_after =
@@ -254,7 +257,8 @@
     const CallId call = m_waiting.front().call;
     m_waiting.pop_front();
     const bool is_admitted = MayUseLocalUnits(now) && TakeLocal(now);
-    m_outlet.Decide(call, is_admitted ? UnitDecision{} : Refuse());
+    m_outlet.Decide(
+        call, is_admitted ? UnitDecision{} : Refuse(UnitSource::kUnanswered));
   }
   if (!m_waiting.empty())
     StartExchange(now);
@@ -304,7 +308,8 @@
   if (!ends)
     return;
   if (is_refused)
-    RefuseWaiting(now);
+    RefuseWaiting(now, response.is_from_reserve ? UnitSource::kDeputy
+                                                : UnitSource::kHome);
   else if (!m_waiting.empty() && !m_exchange)
     StartExchange(now);
 }
@@ -320,12 +325,12 @@
   }
 }
 
-void UnitAccount::RefuseWaiting(TimePoint now) {
+void UnitAccount::RefuseWaiting(TimePoint now, UnitSource source) {
   while (!m_waiting.empty()) {
     const CallId call = m_waiting.front().call;
     m_waiting.pop_front();
     const bool is_admitted = MayUseLocalUnits(now) && TakeLocal(now);
-    m_outlet.Decide(call, is_admitted ? UnitDecision{} : Refuse());
+    m_outlet.Decide(call, is_admitted ? UnitDecision{} : Refuse(source));
   }
 }
 
@@ -347,7 +352,7 @@
     const CallId call = m_waiting.front().call;
     m_waiting.pop_front();
     m_retry_after = kMinRetryAfter;
-    m_outlet.Decide(call, Refuse());
+    m_outlet.Decide(call, Refuse(UnitSource::kUnanswered));
   }
 }
 
--- a/source/core/workspace_limits/unit_account.h
+++ b/source/core/workspace_limits/unit_account.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <deque>
 #include <optional>
+#include <string_view>
 
 #include "core/common/decaying_sum.h"
 #include "core/common/ids.h"
@@ -27,12 +28,43 @@
 
 enum class UnitVerdict : std::uint8_t { kAdmitted, kHeld, kRefused };
 
+// What a refusal was decided on.
+enum class UnitSource : std::uint8_t {
+  kNone,
+  // The home has no units.
+  kHome,
+  // The home had none shortly before, and was not asked again.
+  kHomeBefore,
+  // The home is silent, and its deputy has no units in reserve.
+  kDeputy,
+  // Neither answered in time.
+  kUnanswered,
+};
+
+// The name of the source in logs.
+constexpr std::string_view ToToken(UnitSource source) {
+  switch (source) {
+    case UnitSource::kNone:
+      return "none";
+    case UnitSource::kHome:
+      return "home";
+    case UnitSource::kHomeBefore:
+      return "home-before";
+    case UnitSource::kDeputy:
+      return "deputy";
+    case UnitSource::kUnanswered:
+      return "unanswered";
+  }
+  return "none";
+}
+
 struct UnitDecision {
   UnitVerdict verdict = UnitVerdict::kAdmitted;
   // Empty if the unit cannot be given back, or none was needed.
   std::optional<UnitLease> lease{};
   // Valid with kRefused.
   Duration retry_after{};
+  UnitSource source = UnitSource::kNone;
 };
 
 // Counters of one workspace at one entry.
@@ -43,6 +75,8 @@
   std::uint64_t held = 0;
   // Admitted without the home: from the deputy's reserve or locally.
   std::uint64_t fallback = 0;
+
+  friend bool operator==(const UnitCounters&, const UnitCounters&) = default;
 };
 
 namespace detail {
@@ -69,6 +103,7 @@
               const WorkspaceLimitsSettings& settings,
               RandomSource& random,
               UnitAccountOutlet& outlet,
+              const UnitCounters& counters,
               TimePoint now);
 
   // The outlet may be called for a held call before this returns.
@@ -127,8 +162,8 @@
   void OnHomeSilent(TimePoint since);
   bool TakeLocal(TimePoint now);
   void ServeWaiting(TimePoint now);
-  void RefuseWaiting(TimePoint now);
-  UnitDecision Refuse();
+  void RefuseWaiting(TimePoint now, UnitSource source);
+  UnitDecision Refuse(UnitSource source);
   bool MayUseLocalUnits(TimePoint now) const;
   void ReportUnused(std::uint32_t units, TimePoint requested_at);
 
--- a/source/core/workspace_limits/unit_home.cc
+++ b/source/core/workspace_limits/unit_home.cc
@@ -492,22 +492,25 @@
                          : m_next_sweep;
 }
 
-std::vector<WorkspaceUse> UnitHome::Uses(TimePoint now) {
+std::vector<WorkspaceUse> UnitHome::Uses(TimePoint now) const {
   std::vector<WorkspaceUse> uses;
-  for (auto& [workspace, bucket] : m_buckets) {
+  for (const auto& [workspace, bucket] : m_buckets) {
     const ActiveRate* const named = m_rates.Find(workspace);
     if (!named || m_view.Find(workspace).home->id != m_view.self().id)
       continue;
-    bucket.use.Add(now, m_settings.window, 0, 0);
+    // Copied: their state is brought up to date.
+    UseCounter counter = bucket.use;
+    counter.Add(now, m_settings.window, 0, 0);
+    TokenBucket units = bucket.units;
     WorkspaceUse use;
     use.workspace = named->workspace;
     use.limit = named->limit;
     use.scale = bucket.scale;
-    for (const double granted : bucket.use.granted)
+    for (const double granted : counter.granted)
       use.granted += static_cast<std::uint64_t>(std::max(0.0, granted));
-    for (const double refused : bucket.use.refused)
+    for (const double refused : counter.refused)
       use.refused += static_cast<std::uint64_t>(refused);
-    use.level = bucket.units.Level(now);
+    use.level = units.Level(now);
     uses.push_back(std::move(use));
   }
   return uses;
--- a/source/core/workspace_limits/unit_home.h
+++ b/source/core/workspace_limits/unit_home.h
@@ -84,7 +84,7 @@
   TimePoint NextWakeup() const;
 
   // Workspaces in use whose home is this node.
-  std::vector<WorkspaceUse> Uses(TimePoint now);
+  std::vector<WorkspaceUse> Uses(TimePoint now) const;
   std::size_t size() const { return m_buckets.size(); }
 
  private:
--- a/source/core/workspace_limits/workspace_rates.h
+++ b/source/core/workspace_limits/workspace_rates.h
@@ -3,6 +3,8 @@
 #ifndef BULRUSHMOUNT_CORE_WORKSPACE_LIMITS_WORKSPACE_RATES_H_
 #define BULRUSHMOUNT_CORE_WORKSPACE_LIMITS_WORKSPACE_RATES_H_
 
+#include <algorithm>
+#include <cstddef>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -49,6 +51,23 @@
     return found == m_rates.end() ? nullptr : &found->second;
   }
 
+  std::vector<WorkspaceName> Largest(std::size_t count) const {
+    std::vector<const ActiveRate*> sorted;
+    for (const auto& [key, rate] : m_rates)
+      sorted.push_back(&rate);
+    std::sort(
+        sorted.begin(), sorted.end(),
+        [](const ActiveRate* left, const ActiveRate* right) {
+          return std::pair(-left->rate.units_per_second, left->workspace) <
+                 std::pair(-right->rate.units_per_second, right->workspace);
+        });
+    sorted.resize(std::min(sorted.size(), count));
+    std::vector<WorkspaceName> names;
+    for (const ActiveRate* rate : sorted)
+      names.push_back(rate->workspace);
+    return names;
+  }
+
   bool empty() const { return m_rates.empty(); }
 
  private:
--- a/source/unit_tests/core/node_logic/routed_node_test.cc
+++ b/source/unit_tests/core/node_logic/routed_node_test.cc
@@ -614,6 +614,35 @@
   EXPECT_EQ(Send("/read/1", "k-3"), Reason::kNone);
 }
 
+// Guards against a fleet of one that waits for other members, against a limit
+// that counts requests which no target has seen, and against limits on public
+// routes and on workspaces without one.
+TEST_F(KeyedNodeTest, EnforcesTheLimitOfAWorkspaceOnOneNode) {
+  m_decoder.config.workspaces->front().units_per_second = 1;
+  m_decoder.config.workspaces->front().burst_units = 2;
+  Advance(3s);
+  for (int call = 0; call < 9; ++call)
+    EXPECT_EQ(Send("/read/1", "k-1"), Reason::kNoTarget);
+  Start();
+  ASSERT_EQ(Send("/read/1", "k-1"), Reason::kNone);
+  Call("/read/1", "k-1");
+  const auto answer = Next<AnswerCaller>();
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->reason, Reason::kWorkspaceRateLimit);
+  EXPECT_EQ(answer->outcome, Outcome::kNotRun);
+  ASSERT_TRUE(answer->retry_after);
+  EXPECT_GE(*answer->retry_after, 100ms);
+  EXPECT_LE(*answer->retry_after, 2s);
+  EXPECT_EQ(Send("/read/1", "k-2"), Reason::kNone);
+  EXPECT_EQ(Send("/book/1", "k-1"), Reason::kNone);
+  EXPECT_NE(m_logic.StatusJson(m_now).find("\"workspace\":\"one\""),
+            std::string::npos);
+  EXPECT_NE(m_logic.MetricsText(m_now).find("workspace=\"one\""),
+            std::string::npos);
+  Advance(2s);
+  EXPECT_EQ(Send("/read/1", "k-1"), Reason::kNone);
+}
+
 // Without workspaces in the document, the caller's fields reach the target as
 // they were sent, and keys have no effect.
 TEST_F(KeyedNodeTest, ADocumentWithoutWorkspacesIgnoresKeys) {
--- a/source/unit_tests/core/pipeline/dispatcher_test.cc
+++ b/source/unit_tests/core/pipeline/dispatcher_test.cc
@@ -80,7 +80,9 @@
   std::vector<NodeAction> actions;
 };
 
-class DispatcherTest : public testing::Test, private CallSink {
+class DispatcherTest : public testing::Test,
+                       private CallSink,
+                       private RepeatListener {
  protected:
   DispatcherTest()
       : m_router([] {
@@ -93,7 +95,7 @@
         m_dispatcher(
             MakeSettings(),
             Dispatcher::Parts{m_pipeline, m_router, m_retries, m_claims,
-                              m_notices, m_owners, m_random, m_actions}) {
+                              m_notices, m_owners, m_random, m_actions, this}) {
     for (std::uint64_t node = 1; node <= kOwners; ++node) {
       const ZoneDistance distance = NodeId(node) == kNear
                                         ? ZoneDistance::kSameZone
@@ -151,6 +153,7 @@
   CallPipeline m_pipeline;
   Dispatcher m_dispatcher;
   std::optional<CallEnd> m_end;
+  int m_repeats = 0;
 
  private:
   void OnCallAccepted(TimePoint now, Call& call) override {
@@ -165,6 +168,7 @@
     m_dispatcher.OnDeadline(now, call);
   }
   void OnPermitLost(TimePoint, Call&) override {}
+  void OnRepeated(TimePoint, const Call&) override { ++m_repeats; }
   void OnCallEnded(TimePoint, Call&, const CallEnd& end) override {
     m_end = end;
   }
@@ -189,6 +193,23 @@
   EXPECT_EQ(m_end->outcome, Outcome::kAnswered);
 }
 
+// Guards against a request that reaches two targets and counts once against the
+// limit of its workspace, and against attempts that no target saw and count.
+TEST_F(DispatcherTest, NotesAttemptsAfterOneThatMayHaveReachedATarget) {
+  const CallId call = Start(true);
+  m_dispatcher.OnRefused(
+      m_now, {call, LastAttempt().attempt, Reason::kSlowTarget, LoadReport{}});
+  EXPECT_EQ(m_actions.Count<DispatchAttempt>(), 2U);
+  EXPECT_EQ(m_repeats, 0);
+  m_dispatcher.OnLost(m_now,
+                      {call, LastAttempt().attempt, false, Reason::kNodeLost});
+  EXPECT_EQ(m_actions.Count<DispatchAttempt>(), 3U);
+  EXPECT_EQ(m_repeats, 1);
+  m_dispatcher.OnRefused(
+      m_now, {call, LastAttempt().attempt, Reason::kSlowTarget, LoadReport{}});
+  EXPECT_EQ(m_repeats, 1);
+}
+
 // The owner may have handed the call to its target and may still answer.
 TEST_F(DispatcherTest, KeepsANonRepeatableCallAtASilentOwner) {
   const CallId call = Start(false);
--- a/source/unit_tests/core/settings/daemon_settings_test.cc
+++ b/source/unit_tests/core/settings/daemon_settings_test.cc
@@ -87,6 +87,30 @@
           .settings.has_value());
 }
 
+// Guards against limits of workspaces that are not enforced, or not as stated,
+// because their section is missing or misread.
+TEST(DaemonSettingsTest, WorkspaceLimitsHaveNoToleranceUnlessStated) {
+  const std::string text = kMinimal;
+  EXPECT_EQ(TryParseDaemonSettings(text).settings->node.workspace_limits,
+            WorkspaceLimitsSettings());
+  EXPECT_EQ(WorkspaceLimitsSettings().overage, 0);
+  const DaemonSettingsOrFaults parsed = TryParseDaemonSettings(
+      text +
+      "workspace_limits:\n  window: 2.5s\n  overage: 0.1\n  slack: 20\n");
+  ASSERT_TRUE(parsed.settings.has_value()) << ToString(parsed.faults);
+  EXPECT_EQ(
+      parsed.settings->node.workspace_limits,
+      (WorkspaceLimitsSettings{std::chrono::milliseconds(2500), 0.1, 20}));
+  for (const char* const bad :
+       {"window: 0s", "overage: 0.1", "window: 5s\n  slack: -1",
+        "window: 5s\n  rate: 3"}) {
+    EXPECT_FALSE(
+        TryParseDaemonSettings(text + "workspace_limits:\n  " + bad + "\n")
+            .settings.has_value())
+        << bad;
+  }
+}
+
 TEST(DaemonSettingsTest, TokenFileAllowsOtherOperatorAddresses) {
   std::string text = kMinimal;
   text.replace(text.find("127.0.0.1:5"), 11, "192.0.2.1:5");
