Report the use of workspace limits over the fleet

Only the home of a workspace knows its use, and operators do not know the home. GET /workspaces on any node, and `bulrushmountctl workspaces`, collect the use against the limit from all nodes.

Measured: the tests of the report, its formats and the collector pass.

--- a/source/bulrushmountctl/ctl_commands.cc
+++ b/source/bulrushmountctl/ctl_commands.cc
@@ -138,6 +138,9 @@
       case CtlCommand::kReportBurn:
         return Print(
             {"GET", "/report/burn?format=" + m_options.format, "", kNoRow});
+      case CtlCommand::kWorkspaces:
+        return Print(
+            {"GET", "/workspaces?format=" + m_options.format, "", kNoRow});
       case CtlCommand::kLogsSummary:
         return SummarizeLogs();
       case CtlCommand::kEvacuationList:
--- a/source/bulrushmountctl/ctl_options.cc
+++ b/source/bulrushmountctl/ctl_options.cc
@@ -28,7 +28,7 @@
   Argument argument;
 };
 
-constexpr std::array<CommandSyntax, 11> kCommands{{
+constexpr std::array<CommandSyntax, 12> kCommands{{
     {"contract", "write", CtlCommand::kContractWrite, Argument::kFile},
     {"contract", "show", CtlCommand::kContractShow, Argument::kName},
     {"contract", "list", CtlCommand::kContractList, Argument::kNone},
@@ -36,6 +36,7 @@
     {"contract", "check", CtlCommand::kContractCheck, Argument::kFile},
     {"status", "", CtlCommand::kStatus, Argument::kNone},
     {"report", "burn", CtlCommand::kReportBurn, Argument::kNone},
+    {"workspaces", "", CtlCommand::kWorkspaces, Argument::kNone},
     {"logs", "summary", CtlCommand::kLogsSummary, Argument::kFile},
     {"evacuation", "list", CtlCommand::kEvacuationList, Argument::kNone},
     {"evacuation", "begin", CtlCommand::kEvacuationBegin, Argument::kName},
@@ -54,6 +55,7 @@
   evacuation end ZONE [--wait]
   status
   report burn [--format text|json|svg]
+  workspaces [--format text|json]   (use of the limits over the fleet)
   logs summary FILE                 (needs no node; - is standard input)
 
 Exit codes: 0 done, 1 refused, 2 invalid usage or faults in the file,
--- a/source/bulrushmountctl/ctl_options.h
+++ b/source/bulrushmountctl/ctl_options.h
@@ -23,6 +23,7 @@
   kContractCheck,
   kStatus,
   kReportBurn,
+  kWorkspaces,
   kLogsSummary,
   kEvacuationList,
   kEvacuationBegin,
@@ -41,7 +42,7 @@
   bool wait_until_in_force = false;
   Duration wait_limit = std::chrono::seconds(30);
   Duration timeout = std::chrono::seconds(10);
-  // Format of the burn report: text, json or svg.
+  // Format of a report: text, json or, of the burn report only, svg.
   std::string format = "text";
 };
 
--- a/source/core/transport/operators/daemon_pages.cc
+++ b/source/core/transport/operators/daemon_pages.cc
@@ -4,11 +4,13 @@
 
 #include <array>
 #include <functional>
+#include <optional>
 #include <string>
 #include <utility>
 
 #include "core/reporting/burn_report_format.h"
 #include "core/reporting/metrics_page.h"
+#include "core/transport/peers/control_request_handler.h"
 
 namespace bulrushmount {
 
@@ -47,7 +49,11 @@
     : m_logic(logic),
       m_collector(context.get_executor(),
                   driver.client(),
-                  BurnReportCollectorSettings()) {
+                  BurnReportCollectorSettings()),
+      m_workspace_parts(context.get_executor(),
+                        driver.client(),
+                        kWorkspacesControl,
+                        PartCollectorSettings()) {
   OperatorServer& operators = driver.operators();
   const auto add = [&operators](const std::string& path,
                                 const std::string& content_type,
@@ -71,6 +77,51 @@
       [this](std::string_view query, const OperatorServer::Respond& respond) {
         ServeBurnReport(query, respond);
       });
+  driver.controls().Add(kWorkspacesControl, [&logic] {
+    return ToJson(logic.WorkspaceSnapshot(Now()));
+  });
+  operators.AddAsyncPage(
+      "/workspaces", OperatorServer::Access::kToken,
+      [this](std::string_view query, const OperatorServer::Respond& respond) {
+        ServeWorkspaces(query, respond);
+      });
+}
+
+void DaemonPages::ServeWorkspaces(std::string_view query,
+                                  const OperatorServer::Respond& respond) {
+  const bool is_json = query == "format=json";
+  if (!is_json && !query.empty() && query != "format=text") {
+    ControlReply reply;
+    reply.status = kBadRequest;
+    reply.body = "the query may be format=text or format=json\n";
+    respond(std::move(reply));
+    return;
+  }
+  m_workspace_waiting.push_back(
+      [is_json, respond](const WorkspaceReport& report) {
+        ControlReply reply;
+        reply.content_type = is_json ? kJson : "text/plain; charset=utf-8";
+        reply.body = is_json ? ToJson(report) : ToText(report);
+        respond(std::move(reply));
+      });
+  if (m_workspace_parts.is_running())
+    return;
+  m_workspace_report = m_logic.WorkspaceSnapshot(Now());
+  m_workspace_parts.Start(
+      m_logic.PeerStreams(),
+      [this](const std::optional<std::string>& json) {
+        std::optional<WorkspaceReport> part =
+            json ? WorkspaceReportFromJson(*json) : std::nullopt;
+        if (part)
+          Merge(m_workspace_report, std::move(*part));
+        else
+          ++m_workspace_report.nodes_missing;
+      },
+      [this] {
+        Arrange(m_workspace_report);
+        for (const auto& done : std::exchange(m_workspace_waiting, {}))
+          done(m_workspace_report);
+      });
 }
 
 void DaemonPages::ServeBurnReport(std::string_view query,
--- a/source/core/transport/peers/control_request_handler.h
+++ b/source/core/transport/peers/control_request_handler.h
@@ -16,6 +16,8 @@
 // The name of the request for a node's part of the burn report. Used in the
 // path and in `WorkRequest::control`, which no caller's request can set.
 inline constexpr char kBurnControl[] = "burn";
+// The same for the use of the limits of workspaces.
+inline constexpr char kWorkspacesControl[] = "workspaces";
 
 WorkRequest MakeControlRequest(const std::string& control);
 
