--- a/source/unit_tests/core/workspace_limits/fleet_limiter_fault_test.cc
+++ b/source/unit_tests/core/workspace_limits/fleet_limiter_fault_test.cc
@@ -392,6 +392,110 @@
   EXPECT_GT(fleet.network().sent(), sent);
 }
 
+// Guards against an entry that admits its own part of the rate as soon as the
+// home is silent, while the home still grants the whole rate to others.
+TEST(FleetLimiterSilenceTest, AdmitsItsOwnPartOnlyAfterALongSilence) {
+  UnitFleet fleet(10, kSettings, 1);
+  UnitLoad load(fleet, 1);
+  const WorkspaceName workspace = NameOf(0);
+  fleet.SetLimits({{workspace, {100, 100}}});
+  fleet.Advance(40s);
+  const std::size_t entry = fleet.HomeOf(workspace) == 0 ? 1 : 0;
+  std::vector<double> rates(10, 0);
+  rates[entry] = 100;
+  fleet.SetSide(entry, 1);
+  load.SetSources({{workspace, rates}});
+  load.Run(2900ms);
+  EXPECT_EQ(load.TallyOf(workspace).admitted, 0U);
+  load.Run(4100ms);
+  // A tenth of the rate for 4 s, less what expires and the time after another
+  // member has become the home in the view of the entry.
+  EXPECT_GE(load.TallyOf(workspace).admitted, 15U);
+  EXPECT_LE(load.TallyOf(workspace).admitted, 41U);
+}
+
+// Guards against a restarted node that refuses a burst below the limit, because
+// as the new home it does not know that the bucket is full.
+TEST(FleetLimiterTakeoverTest, ANewHomeTakesOverTheLevelOfItsPredecessor) {
+  constexpr std::size_t kWorkspaces = 60;
+  UnitFleet fleet(10, kSettings, 1);
+  UnitLoad load(fleet, 1);
+  std::vector<NamedRate> rates;
+  for (std::size_t index = 0; index < kWorkspaces; ++index)
+    rates.push_back({NameOf(index), {10, 200}});
+  fleet.SetLimits(rates);
+  fleet.Advance(40s);
+  fleet.Leave(0);
+  fleet.Advance(20s);
+  fleet.Restart(0);
+  fleet.Advance(2s);
+  std::size_t taken_over = 0;
+  for (std::size_t index = 0; index < kWorkspaces; ++index) {
+    if (fleet.HomeOf(NameOf(index)) != 0)
+      continue;
+    ++taken_over;
+    for (int call = 0; call < 150; ++call)
+      load.Call(1, NameOf(index));
+    load.Run(100ms);
+    EXPECT_EQ(load.TallyOf(NameOf(index)).admitted, 150U);
+  }
+  EXPECT_GE(taken_over, 2U);
+}
+
+class RecordedResponses : public DatagramPort {
+ public:
+  void Send(const Endpoint&, DatagramKind, std::string payload) override {
+    const auto datagram = DecodeWorkspaceLimits(payload);
+    responses.insert(responses.end(), datagram->responses.begin(),
+                     datagram->responses.end());
+  }
+  std::vector<UnitResponse> responses;
+};
+
+// Guards against a repeated datagram that takes units again, or gives units
+// back again.
+TEST(FleetLimiterRepeatTest, CountsARepeatedRequestOnce) {
+  TimePoint now{std::chrono::hours(1)};
+  SeededRandomSource random(1);
+  RecordedResponses port;
+  const Peer self{NodeId(1), {"127.0.0.1", 1}};
+  const Peer other{NodeId(2), {"127.0.0.1", 2}};
+  FleetLimiter limiter({5s, 0, 0}, self, random, port, now);
+  WorkspaceName workspace;
+  std::vector<NamedRate> rates;
+  for (std::size_t index = 0; index < 20; ++index) {
+    rates.push_back({NameOf(index), {0.01, 100.5}});
+    if (RendezvousHome({self, other}, KeyOf(NameOf(index)).value())->id ==
+        self.id)
+      workspace = NameOf(index);
+  }
+  limiter.SetLimits(now, rates);
+  limiter.SetMembers(now, {{self}, {other}}, {});
+  // The bucket fills within 3 hours.
+  for (; now < TimePoint(std::chrono::hours(4)); now += 500ms)
+    limiter.OnPeerContact(now);
+  const auto send = [&](std::uint64_t number, std::uint32_t wanted,
+                        std::uint32_t returned) {
+    WorkspaceLimitsDatagram datagram;
+    datagram.sender = other.id;
+    datagram.requests = {
+        {KeyOf(workspace), UnitRequestNumber(number), wanted, 0, 0, returned}};
+    limiter.OnDatagram(now, other.gossip,
+                       EncodeWorkspaceLimits(datagram).front());
+  };
+  send(5, 30, 0);
+  send(5, 30, 0);
+  send(4, 30, 0);
+  ASSERT_EQ(port.responses.size(), 2U);
+  EXPECT_EQ(port.responses[0], port.responses[1]);
+  EXPECT_EQ(port.responses[0].granted, 30U);
+  send(6, 200, 10);
+  send(6, 200, 10);
+  EXPECT_EQ(port.responses.back().granted, 80U);
+  send(7, 200, 0);
+  EXPECT_EQ(port.responses.back().granted, 0U);
+}
+
 std::vector<NamedRate> RankedRates(std::size_t count, double total_calls) {
   constexpr double kExponent = 1.2;
   constexpr double kHeadroom = 1.6;
