Check the limit of a workspace in the soak

With keys, one of the soak's workspaces has a limit far below its load, and every window of the servers' ledgers is checked against the bound.

--- a/source/soak/ledger_checks.cc
+++ b/source/soak/ledger_checks.cc
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 
 #include "soak/key_checks.h"
+#include "soak/limit_checks.h"
 #include "soak/notice_checks.h"
 
 namespace bulrushmount::soak {
@@ -145,6 +146,7 @@
   CheckVersions(record, violations);
   CheckNotices(record, violations);
   CheckKeys(record, violations);
+  CheckLimits(record, violations);
   return violations;
 }
 
--- a/source/soak/ledger_checks.h
+++ b/source/soak/ledger_checks.h
@@ -47,6 +47,8 @@
 inline constexpr std::array<const char*, 4> kWorkspaces = {"amber", "birch",
                                                            "cedar", "delta"};
 inline constexpr std::uint64_t kVersionsOfAKey = 2;
+// The only one with a limit over the fleet.
+inline constexpr char kLimitedWorkspace[] = "delta";
 std::string PermanentKey(const std::string& workspace);
 std::string KeyFrom(const std::string& workspace, std::uint64_t version);
 // In no version of the document.
--- a/source/soak/ledger_checks_test.cc
+++ b/source/soak/ledger_checks_test.cc
@@ -5,6 +5,8 @@
 
 #include <gtest/gtest.h>
 
+#include "soak/limit_checks.h"
+
 namespace bulrushmount::soak {
 namespace {
 
@@ -137,6 +139,20 @@
   return record;
 }
 
+// One request of the limited workspace at kStart and `count` further ones after
+// `pause`.
+SoakRecord LimitedRuns(std::size_t count, Duration pause) {
+  const std::string key = PermanentKey(kLimitedWorkspace);
+  SoakRecord record = WithVerdicts(
+      key, std::vector<ClientVerdict>(count + 1, ClientVerdict::kServed));
+  for (platform::LedgerRun& run : record.runs) {
+    run.workspace = kLimitedWorkspace;
+    run.started_at = kStart + pause;
+  }
+  record.runs.front().started_at = kStart;
+  return record;
+}
+
 constexpr ClientVerdict kYes = ClientVerdict::kServed;
 constexpr ClientVerdict kNo = ClientVerdict::kUnknownKey;
 
@@ -160,6 +176,12 @@
                         WithVerdicts("amber-3", {kNo, kYes, kNo}), 0},
         LedgerCheckCase{"KeyAcceptedAgain",
                         WithVerdicts("amber-3", {kYes, kNo, kYes}), 1},
+        LedgerCheckCase{"AsManyAsTheLimitAllows",
+                        LimitedRuns(kLimitBound - 1, kLimitWindow / 2), 0},
+        LedgerCheckCase{"MoreThanTheLimitAllows",
+                        LimitedRuns(kLimitBound, kLimitWindow / 2), 1},
+        LedgerCheckCase{"AsManyAsTheLimitAllowsInEachWindow",
+                        LimitedRuns(kLimitBound, kLimitWindow), 0},
         LedgerCheckCase{"KeyAcceptedAgainAfterARestart",
                         Restarted(WithVerdicts("amber-3", {kYes, kNo, kYes})),
                         0}),
--- a/source/soak/soak_run.cc
+++ b/source/soak/soak_run.cc
@@ -12,6 +12,8 @@
 
 #include <fmt/format.h>
 
+#include "soak/limit_checks.h"
+
 namespace bulrushmount::soak {
 
 namespace {
@@ -129,6 +131,12 @@
   plan.folder = m_options.folder;
   plan.has_relays = true;
   plan.service_time = kServiceTime;
+  if (m_options.has_workspaces) {
+    plan.settings_values = {
+        {"bounds.quota_window_s", fmt::format("{}", ToSeconds(kLimitWindow))},
+        {"bounds.quota_overage", fmt::format("{}", kLimitOverage)},
+        {"bounds.quota_slack", fmt::format("{}", kLimitSlack)}};
+  }
   for (std::size_t index = 0; index < m_options.nodes; ++index) {
     plan.ips.push_back(IpOf(index));
     plan.services.emplace_back(kServices.at(index % kServices.size()));
@@ -484,6 +492,10 @@
     if (!workspaces)
       break;
     platform::WorkspaceEntry workspace{name, {PermanentKey(name)}};
+    if (workspace.name == kLimitedWorkspace) {
+      workspace.rate_per_second = kLimitRate;
+      workspace.burst = kLimitBurst;
+    }
     for (std::uint64_t from = version;
          from > 0 && from + kVersionsOfAKey > version; --from)
       workspace.keys.push_back(KeyFrom(name, from));
