--- a/source/core/workspace_limits/fleet_view.cc
+++ b/source/core/workspace_limits/fleet_view.cc
@@ -23,6 +23,10 @@
 // receives one.
 constexpr Duration kIsolationTime = std::chrono::milliseconds(1500);
 
+// Random members that are drawn until one is neither this node nor the
+// receiver.
+constexpr int kRelayTries = 4;
+
 // A node that still knows no other member after this time is taken to be the
 // only one left.
 constexpr Duration kMaxWaitForPeers = std::chrono::seconds(30);
@@ -177,8 +181,7 @@
 }
 
 const Peer* FleetView::FindRelay(RandomSource& random, NodeId excluded) const {
-  constexpr int kTries = 4;
-  for (int attempt = 0; attempt < kTries; ++attempt) {
+  for (int attempt = 0; attempt < kRelayTries; ++attempt) {
     const Peer& member = m_members[random.Index(m_members.size())];
     if (member.id != m_self.id && member.id != excluded)
       return &member;
--- a/source/core/workspace_limits/workspace_rates.h
+++ b/source/core/workspace_limits/workspace_rates.h
@@ -53,6 +53,7 @@
 
   std::vector<WorkspaceName> Largest(std::size_t count) const {
     std::vector<const ActiveRate*> sorted;
+    sorted.reserve(m_rates.size());
     for (const auto& [key, rate] : m_rates)
       sorted.push_back(&rate);
     std::sort(
@@ -63,6 +64,7 @@
         });
     sorted.resize(std::min(sorted.size(), count));
     std::vector<WorkspaceName> names;
+    names.reserve(sorted.size());
     for (const ActiveRate* rate : sorted)
       names.push_back(rate->workspace);
     return names;
--- a/source/unit_tests/core/pipeline/fleet_limit_filter_test.cc
+++ b/source/unit_tests/core/pipeline/fleet_limit_filter_test.cc
@@ -37,6 +37,7 @@
     auto filter = std::make_unique<FleetLimitFilter>(m_limiter, m_pipeline);
     m_pipeline.AddFilter(std::move(filter));
     std::vector<NamedRate> rates;
+    rates.reserve(20);
     // Of a few workspaces, the other node is the home of some.
     for (int index = 0; index < 20; ++index)
       rates.push_back({WorkspaceName("w" + std::to_string(index)), {10, 10}});
--- a/source/unit_tests/core/reporting/workspace_report_test.cc
+++ b/source/unit_tests/core/reporting/workspace_report_test.cc
@@ -73,7 +73,9 @@
   MetricsRegistry registry;
   WorkspaceMetrics metrics(registry);
   std::vector<WorkspaceCounters> counters;
+  counters.reserve(100);
   std::vector<WorkspaceName> largest;
+  largest.reserve(20);
   for (int index = 0; index < 100; ++index) {
     counters.push_back(
         {WorkspaceName("w" + std::to_string(index)), {10, 2, 1, 0}});
