--- a/source/core/admission/admission.h
+++ b/source/core/admission/admission.h
@@ -17,6 +17,8 @@
 #include "core/admission/service_times.h"
 #include "core/admission/slowdown_baseline.h"
 #include "core/admission/start_gate.h"
+#include "core/admission/workspace_shares.h"
+#include "core/common/decaying_sum.h"
 #include "core/common/ids.h"
 #include "core/common/outcome.h"
 #include "core/common/time.h"
@@ -45,6 +47,8 @@
   // The request may have crashed a target; at most one such request runs on a
   // target at a time.
   bool is_suspect = false;
+  // A call that a target makes while it serves another request.
+  bool is_nested = false;
 };
 
 struct AdmissionRefusal {
@@ -95,9 +99,9 @@
   double overload_fraction = 0.75;
   // Time constant of that fraction.
   Duration overload_time_constant = std::chrono::milliseconds(400);
-  // Time for which a rank counts as present after its last arrival: a few times
-  // what the longest requests take.
-  Duration rank_presence_time = std::chrono::seconds(2);
+  // Time for which a class of works counts as present after its last arrival: a
+  // few times what the longest requests take.
+  Duration presence_time = std::chrono::seconds(2);
   // Assumed service time of a request of weight 1 before the first answer.
   Duration initial_service_time = std::chrono::milliseconds(10);
   // Multiple of its baseline slowdown from which a target counts as disturbed,
@@ -111,6 +115,16 @@
   // Whether works that would be in time by the mean service time, but probably
   // are not because of its spread, go after those that probably are.
   bool uses_likely_times = true;
+  // Part of the longest wait in time up to which a workspace that exceeds its
+  // fair share is accepted under a lasting overload; the rest is left to
+  // workspaces with low demand. With 0.4, slots are idle more often.
+  double excess_wait_fraction = 0.6;
+  // Whether requests of workspaces that have an objective are accepted or
+  // refused on arrival: under a lasting overload a last attempt may wait as
+  // long as it is in time, and a work that has waited for an eighth of its
+  // objective is not refused for lack of capacity. The latter also applies to
+  // nested calls.
+  bool decides_on_arrival = true;
   // Window of SlowdownBaseline.
   Duration baseline_window = std::chrono::milliseconds(1500);
 };
@@ -163,14 +177,19 @@
   AdmissionOutput OnTimer(TimePoint now);
   std::optional<TimePoint> NextWakeup() const;
 
-  // Number of works ahead of a new one of this rank.
-  std::size_t QueuedUpTo(Rank rank) const { return m_queue.CountUpTo(rank); }
+  // Number of works ahead of a new one of this class.
+  std::size_t QueuedUpTo(const WorkClass& work_class) const {
+    return m_queue.CountUpTo(work_class);
+  }
   // The counts are exact. The limit is 0 while the target accepts no new works.
   LoadReport load() const;
   // As announced; 0 before the first announcement.
   std::uint32_t slots() const { return m_slots; }
 
  private:
+  // A few times the duration of a nested call.
+  static constexpr Duration kNestedDemandTime = std::chrono::milliseconds(150);
+
   struct Running {
     KindName kind;
     double weight = 1.0;
@@ -182,29 +201,58 @@
     bool is_server_error = false;
   };
 
-  struct RankHistory {
+  struct ClassHistory {
     // Fraction of recent time, as of m_histories_updated_at, during which works
-    // of this rank or of more urgent ones waited. Less urgent works do not make
-    // a rank overloaded, since they are allowed to wait.
+    // of this class or of more urgent ones waited. Less urgent works do not
+    // make a class overloaded, since they are allowed to wait.
     double waiting_fraction = 0;
     TimePoint last_arrival;
   };
 
-  // Whether the rank has a lasting overload, in which longer waits do not help.
-  // A rank is not overloaded while less urgent works are present, since it gets
-  // the slots that these free.
-  bool IsOverloaded(Rank rank) const;
+  // Whether nested calls ask for less than most of the slots' time, so that a
+  // lasting overload is not theirs.
+  bool DoNestedCallsFit() const;
+  // Whether the class has a lasting overload, in which longer waits do not
+  // help. A class is not overloaded while less urgent works are present, since
+  // it gets the slots that these free.
+  bool IsOverloaded(const WorkClass& work_class) const;
+  // The same, whether or not less urgent works are present.
+  bool IsBacklogged(const WorkClass& work_class) const;
   std::uint32_t Limit() const;
   std::size_t MaxQueue() const;
-  Duration MaxWaitOf(const AdmissionRequest& request) const;
-  void UpdateRankHistories(TimePoint now);
+  Duration MaxWaitOf(TimePoint now, const AdmissionRequest& request) const;
+  // Longest wait of a request under a lasting overload; empty if it is none, or
+  // if the request is not decided on arrival.
+  std::optional<Duration> OverloadWaitOf(TimePoint now,
+                                         const AdmissionRequest& request) const;
+  bool DecidesOnArrival(const AdmissionRequest& request) const;
+  // The request's rank; the most urgent one if its workspace is underserved,
+  // and the least urgent one present if its workspace exceeds its fair share.
+  Rank RankOf(TimePoint now, const AdmissionRequest& request) const;
+  // Whether the workspace stays within its fair share with this request.
+  bool IsWithinShare(TimePoint now, const AdmissionRequest& request) const;
+  // Longest wait after which an average answer is in time.
+  Duration InTimeWaitOf(const AdmissionRequest& request) const;
+  // Whether the work may no longer be refused for lack of capacity.
+  bool IsDecided(TimePoint now, const QueuedWork& work) const;
+  void UpdateHistories(TimePoint now);
 
   // Updates the queue and starts or refuses works after any event.
   AdmissionOutput Reschedule(TimePoint now);
+  // Time from a start to the arrival of the answer at the caller, without
+  // interference.
+  Duration TimeOf(Duration undisturbed) const;
+  // The same for a work, such that it is likely enough.
+  Duration LikelyTimeOf(const QueuedWork& work) const;
   Timeliness TimelinessOf(TimePoint now, const QueuedWork& work) const;
+  // Whether some waiting work would be late if the earliest objective went
+  // first, so that the order between workspaces matters.
+  bool IsContended(TimePoint now) const;
   void RefuseUnservable(TimePoint now, AdmissionOutput& output);
   void StartEligible(TimePoint now, AdmissionOutput& output);
-  void RefuseOverflow(AdmissionOutput& output);
+  void RefuseOverflow(TimePoint now, AdmissionOutput& output);
+  // The work to refuse because the queue is too long; empty if it is not.
+  std::optional<WorkId> FindOverflow(TimePoint now) const;
   void ScheduleWakeup(TimePoint now);
 
   bool IsDisturbed() const;
@@ -222,7 +270,7 @@
                         std::size_t ahead) const;
   // The same considering only the slots, not the gate.
   Duration WaitForSlot(double release_rate, std::size_t ahead) const;
-  TimePoint LatestStart(const QueuedWork& work) const;
+  TimePoint LatestStart(TimePoint now, const QueuedWork& work) const;
   // Whether the work cannot start although a slot is free.
   bool IsBlocked(const QueuedWork& work) const;
   // Why the work must be refused; empty if it may wait or start.
@@ -235,6 +283,7 @@
   OpenStartGate m_open_gate;
   StartGate& m_gate;
   ServiceTimes m_service_times;
+  WorkspaceShares m_shares;
   RankedQueue m_queue;
   std::unordered_map<WorkId, Running> m_running;
   // Number of suspects in m_running; at most 1.
@@ -244,7 +293,9 @@
   bool m_is_open = false;
   // Reason for refusing works that arrive while the admission is closed.
   Reason m_closed_reason = Reason::kDraining;
-  std::map<Rank, RankHistory> m_rank_histories;
+  // Slot time that nested calls recently asked for, in seconds.
+  DecayingSum m_nested_demand{kNestedDemandTime};
+  std::map<WorkClass, ClassHistory> m_histories;
   TimePoint m_histories_updated_at;
   std::optional<TimePoint> m_next_wakeup;
   double m_slowdown = 1.0;
--- a/source/core/admission/admission_queue.cc
+++ b/source/core/admission/admission_queue.cc
@@ -15,12 +15,19 @@
 // Number of finish tags from which those without effect are pruned.
 constexpr std::size_t kPruneAt = 128;
 
+// How many of its works a workspace may have started beyond its share while the
+// queue was not contended; more are forgiven. Without a bound, a workspace that
+// has used idle capacity for long would get nothing in the next contention.
+constexpr double kMaxLead = 2;
+
 // Sort key among works of the same timeliness: earliest due time first if the
 // work is likely in time, newest first otherwise. Newest first also applies to
 // late works, since the service time is an estimate and a work that is slightly
 // late by it is often in time.
 Duration OrderOf(const QueuedWork& work) {
-  const TimePoint objective = work.objective.value_or(work.deadline);
+  // A nested call's deadline is the time that its caller has left.
+  const TimePoint objective =
+      work.is_nested ? work.deadline : work.objective.value_or(work.deadline);
   switch (work.timeliness) {
     case Timeliness::kLikely:
       return objective.time_since_epoch();
@@ -40,6 +47,11 @@
                          OrderOf(right), right.work.value());
 }
 
+bool ByDue(const QueuedWork& left, const QueuedWork& right) {
+  return std::make_tuple(left.timeliness, OrderOf(left), left.work.value()) <
+         std::make_tuple(right.timeliness, OrderOf(right), right.work.value());
+}
+
 bool ByStart(const QueuedWork& left, const QueuedWork& right) {
   return std::make_tuple(left.timeliness, left.start_tag, OrderOf(left),
                          left.work.value()) <
@@ -78,6 +90,14 @@
   return true;
 }
 
+bool AdmissionQueue::SetContended(bool is_contended) {
+  if (is_contended == m_is_contended)
+    return false;
+  m_is_contended = is_contended;
+  Reorder();
+  return true;
+}
+
 QueuedWork AdmissionQueue::PopLast() {
   QueuedWork work = std::move(m_works.back());
   m_works.pop_back();
@@ -91,8 +111,19 @@
 }
 
 void AdmissionQueue::Charge(const QueuedWork& work) {
-  m_virtual_time = std::max(m_virtual_time, work.start_tag);
-  m_finish_tags[work.workspace] = work.start_tag + work.weight / work.share;
+  const double cost = work.weight / work.share;
+  double start_tag = work.start_tag;
+  if (m_is_contended) {
+    m_virtual_time = std::max(m_virtual_time, start_tag);
+  } else {
+    // The work may have gone before others with lower tags.
+    double lowest = start_tag;
+    for (const QueuedWork& waiting : m_works)
+      lowest = std::min(lowest, waiting.start_tag);
+    m_virtual_time = std::max(m_virtual_time, lowest);
+    start_tag = std::min(start_tag, m_virtual_time + kMaxLead * cost);
+  }
+  m_finish_tags[work.workspace] = start_tag + cost;
   if (m_finish_tags.size() < kPruneAt)
     return;
   std::erase_if(m_finish_tags, [this](const auto& entry) {
@@ -110,7 +141,7 @@
       work.start_tag = FirstTagOf(work.workspace);
     before = &work;
   }
-  std::sort(m_works.begin(), m_works.end(), ByStart);
+  std::sort(m_works.begin(), m_works.end(), m_is_contended ? ByStart : ByDue);
 }
 
 double AdmissionQueue::FirstTagOf(const WorkspaceName& workspace) const {
--- a/source/core/node_logic/entry_side.cc
+++ b/source/core/node_logic/entry_side.cc
@@ -8,8 +8,10 @@
 #include "core/common/logging.h"
 #include "core/pipeline/claim_filter.h"
 #include "core/pipeline/contract_filter.h"
+#include "core/pipeline/fleet_limit_filter.h"
 #include "core/pipeline/limit_filter.h"
 #include "core/pipeline/quarantine_filter.h"
+#include "core/pipeline/refusals.h"
 #include "core/pipeline/retry_after_policy.h"
 #include "core/pipeline/route_filter.h"
 #include "core/pipeline/throttle_filter.h"
@@ -25,6 +27,7 @@
   dispatcher.self = settings.id;
   dispatcher.zone = settings.zone;
   dispatcher.zone_kilobyte = settings.zone_kilobyte;
+  dispatcher.zone_spare_time_part = settings.zone_spare_time_part;
   dispatcher.max_attempts = settings.max_attempts;
   dispatcher.refusals_cost_no_retry = settings.refusals_cost_no_retry;
   const PolicySwitches& policies = settings.policies;
@@ -60,7 +63,7 @@
       m_dispatcher(MakeDispatcherSettings(settings),
                    Dispatcher::Parts{m_pipeline, parts.router, *m_retries,
                                      parts.claims, parts.notices, parts.owners,
-                                     parts.random, parts.actions}),
+                                     parts.random, parts.actions, this}),
       m_has_route_document(settings.has_route_document),
       m_has_retry_after_policy(settings.policies.retry_after) {
   AddFilters(settings);
@@ -73,9 +76,9 @@
     return;
   m_last_arrival = now;
   if (now >= m_refuse_from) {
-    m_parts.actions.Push(AnswerCaller{event.call, Outcome::kNotRun,
-                                      Reason::kDraining,
-                                      RetryAfterFor(Reason::kDraining)});
+    m_parts.actions.Push(AnswerCaller{
+        event.call, Outcome::kNotRun, Reason::kDraining,
+        RetryAfterFor(Reason::kDraining, LoadReport(), Duration::zero())});
     return;
   }
   m_pipeline.Start(now, event.call, std::move(event.head));
@@ -106,16 +109,25 @@
 }
 
 void EntrySide::OnCallEnded(TimePoint now, Call& call, const CallEnd& end) {
-  Answer(call, end);
+  Answer(now, call, end);
   Record(now, call, end);
 }
 
+void EntrySide::OnRepeated(TimePoint now, const Call& call) {
+  if (m_has_route_document && !call.head.workspace.value().empty())
+    m_parts.fleet_limiter.TakeOwed(now, call.head.workspace);
+}
+
 // Cheap checks without side effects run first; filters that acquire something
 // or write to the table run last.
 void EntrySide::AddFilters(const NodeSettings& settings) {
   if (m_has_route_document) {
     m_pipeline.AddFilter(std::make_unique<RouteFilter>(
-        m_parts.routes, m_pipeline, settings.policies.retry_detector));
+        m_parts.routes, m_pipeline,
+        WorkspaceCheck(m_parts.confirmation, settings.max_unconfirmed_document),
+        settings.policies.retry_detector));
+    m_pipeline.AddFilter(
+        std::make_unique<FleetLimitFilter>(m_parts.fleet_limiter, m_pipeline));
   } else {
     m_pipeline.AddFilter(
         std::make_unique<ContractFilter>(m_parts.contracts, m_pipeline));
@@ -136,7 +148,7 @@
 
 // The only place that sends a final answer to a caller, except for complete
 // answers relayed from a target.
-void EntrySide::Answer(const Call& call, const CallEnd& end) {
+void EntrySide::Answer(TimePoint now, const Call& call, const CallEnd& end) {
   if (end.is_replay) {
     m_parts.actions.Push(ReplayAnswer{
         call.id, end.answer.status, end.answer.content_type, end.answer.body});
@@ -144,17 +156,39 @@
   }
   if (end.outcome == Outcome::kAnswered || call.is_caller_disconnected)
     return;
-  if (call.answer_begun_at)
+  if (call.answer_begun_at) {
     m_parts.actions.Push(AbortAnswer{call.id});
-  else
-    m_parts.actions.Push(AnswerCaller{call.id, end.outcome, end.reason,
-                                      RetryAfterFor(end.reason)});
+    return;
+  }
+  m_parts.actions.Push(AnswerCaller{call.id, end.outcome, end.reason,
+                                    RetryAfterOf(now, call, end)});
+}
+
+std::optional<Duration> EntrySide::RetryAfterOf(TimePoint now,
+                                                const Call& call,
+                                                const CallEnd& end) const {
+  if (end.retry_after)
+    return end.retry_after;
+  if (IsShedAtRandom(now, call, end))
+    return DrawImmediateRetryAfter(m_parts.random);
+  return RetryAfterFor(end.reason, call.last_load, call.deadline - now);
+}
+
+bool EntrySide::IsShedAtRandom(TimePoint now,
+                               const Call& call,
+                               const CallEnd& end) const {
+  return m_has_retry_after_policy && end.reason == Reason::kShed &&
+         HasRoom(call.last_load) &&
+         m_dispatcher.shed_shares().IsImmediateRetryWorthwhile(
+             now, call.head.service);
 }
 
-std::optional<Duration> EntrySide::RetryAfterFor(Reason reason) const {
+std::optional<Duration> EntrySide::RetryAfterFor(Reason reason,
+                                                 const LoadReport& load,
+                                                 Duration left) const {
   if (!m_has_retry_after_policy)
     return std::nullopt;
-  return DrawRetryAfter(reason, m_parts.random);
+  return DrawRetryAfter(reason, load, left, m_parts.random);
 }
 
 void EntrySide::Record(TimePoint now, const Call& call, const CallEnd& end) {
@@ -174,7 +208,11 @@
            ToMilliseconds(call.head.deadline.value_or(Duration::zero())))
       .Add("waited_before_ms", ToMilliseconds(call.waited_before))
       .Add("ms", ToMilliseconds(now - call.arrived_at));
-  // A call without a matching route has no deadline.
+  if (!call.head.workspace.value().empty())
+    line.Add("workspace", call.head.workspace);
+  if (!end.detail.empty())
+    line.Add("detail", end.detail);
+  // A call that is refused before a service is selected has no deadline.
   if (call.deadline != TimePoint::max())
     line.Add("left_ms", ToMilliseconds(call.deadline - now));
   m_parts.metrics.OnCall(call.head.service, end.outcome, end.reason,
@@ -184,7 +222,10 @@
   if (!has_terms)
     return;
   CallRecord record;
-  record.workspace = call.head.workspace;
+  // The series of a routing document are those of its routes: thousands of
+  // workspaces would need more memory than the histograms may use.
+  if (!m_has_route_document)
+    record.workspace = call.head.workspace;
   record.service = call.head.service;
   record.kind = call.terms.kind.name;
   record.outcome = end.outcome;
--- a/source/core/node_logic/node.cc
+++ b/source/core/node_logic/node.cc
@@ -70,6 +70,9 @@
 ConfigSyncSettings MakeConfigSettings(const NodeSettings& settings) {
   ConfigSyncSettings config;
   config.fleet_polls_per_second = settings.fleet_config_polls_per_second;
+  config.max_confirmation_age = settings.max_unconfirmed_document;
+  config.self = settings.id;
+  config.zone = settings.zone;
   return config;
 }
 
@@ -101,11 +104,17 @@
 }
 
 std::unique_ptr<ConfigReader> MakeConfigReader(
+    const NodeSettings& settings,
     TableService& table,
     const RouteDocumentDecoder* decoder) {
   if (!decoder)
     return std::make_unique<ConfigTableReader>(table);
-  return std::make_unique<OperatorDocumentReader>(table, *decoder);
+  const Duration watch_time =
+      settings.max_unconfirmed_document
+          ? std::min(kWatchTime,
+                     MaxWatchTime(*settings.max_unconfirmed_document))
+          : kWatchTime;
+  return std::make_unique<OperatorDocumentReader>(table, *decoder, watch_time);
 }
 
 WallAnchor AnchorAt(TimePoint now) {
@@ -122,7 +131,7 @@
       m_random(random),
       m_event_time(now),
       m_table(m_actions),
-      m_datagrams(m_actions),
+      m_datagrams(m_actions, m_traffic),
       m_membership(MakeMembershipSettings(settings),
                    MakeSelf(settings),
                    random,
@@ -146,12 +155,17 @@
       m_config_sync(MakeConfigSettings(settings),
                     m_contracts,
                     m_evacuations,
-                    MakeConfigReader(m_table, decoder),
+                    MakeConfigReader(settings, m_table, decoder),
                     m_datagrams,
                     random,
                     now),
       m_watch_duty(WatchDutySettings(), settings.id, now),
       m_limiter(LimitsSettings(), MakePeer(settings), m_datagrams, now),
+      m_fleet_limiter(settings.workspace_limits,
+                      MakePeer(settings),
+                      random,
+                      m_datagrams,
+                      now),
       m_quarantine(MakeQuarantineSettings(settings),
                    MakePeer(settings),
                    m_datagrams,
@@ -160,6 +174,7 @@
       m_claims(ClaimSettings(), m_table, random, AnchorAt(now)),
       m_claim_sweeper(SweepSettings(), m_table, random, now, AnchorAt(now)),
       m_recorder(now, kMaxReportSeries),
+      m_workspace_metrics(m_registry),
       m_metrics(m_registry),
       m_router([picker = MakePickerSettings(settings)] {
         return std::make_unique<PowerOfChoicesPicker>(picker);
@@ -172,11 +187,11 @@
               m_actions,
               now),
       m_probes(settings.id, MakeMeasuringSettings(settings), random),
-      m_entry(
-          settings,
-          EntrySide::Parts{m_contracts, m_routes, m_limiter, m_quarantine,
-                           m_claims, m_router, m_notices, m_recorder, m_metrics,
-                           *this, random, m_actions, m_event_time}) {
+      m_entry(settings,
+              EntrySide::Parts{m_contracts, m_routes, m_config_sync, m_limiter,
+                               m_fleet_limiter, m_quarantine, m_claims,
+                               m_router, m_notices, m_recorder, m_metrics,
+                               *this, random, m_actions, m_event_time}) {
   m_contracts.AddListener(this);
 }
 
@@ -208,9 +223,10 @@
       {leave_step, m_membership.NextWakeup(), m_directory.NextWakeup(),
        m_contract_writer.NextWakeup(), m_config_sync.NextWakeup(),
        m_watch_duty.NextChange(m_event_time), m_limiter.NextWakeup(),
-       m_quarantine.NextWakeup(), m_claims.NextWakeup(), SweepWakeup(),
-       m_owner.NextWakeup(), m_probes.NextWakeup(), m_entry.NextWakeup(),
-       m_next_revision_query});
+       m_fleet_limiter.NextWakeup(), m_quarantine.NextWakeup(),
+       m_claims.NextWakeup(), SweepWakeup(), m_owner.NextWakeup(),
+       m_probes.NextWakeup(), m_entry.NextWakeup(), m_next_revision_query,
+       m_first_document_due.value_or(TimePoint::max())});
 }
 
 // With a routing document no request has an idempotency key, so there are no
@@ -337,6 +353,7 @@
 void Node::On(TimePoint now, const DatagramArrived& event) {
   if (event.bytes.empty())
     return;
+  m_fleet_limiter.OnPeerContact(now);
   const std::string_view payload =
       std::string_view(event.bytes).substr(sizeof(DatagramKind));
   switch (static_cast<DatagramKind>(event.bytes.front())) {
@@ -353,6 +370,9 @@
     case DatagramKind::kConfig:
       m_config_sync.OnDatagram(now, event.from, payload);
       break;
+    case DatagramKind::kWorkspaceLimits:
+      m_fleet_limiter.OnDatagram(now, event.from, payload);
+      break;
   }
 }
 
@@ -373,6 +393,7 @@
   m_contract_writer.OnTimer(now);
   m_config_sync.OnTimer(now);
   m_limiter.OnTimer(now);
+  m_fleet_limiter.OnTimer(now);
   m_quarantine.OnTimer(now);
   m_claims.OnTimer(now);
   if (!m_decoder)
--- a/source/core/node_logic/node.h
+++ b/source/core/node_logic/node.h
@@ -29,11 +29,15 @@
 #include "core/quarantine/quarantine.h"
 #include "core/reporting/call_recorder.h"
 #include "core/reporting/metrics_page.h"
+#include "core/reporting/peer_traffic.h"
 #include "core/reporting/traffic_metrics.h"
+#include "core/reporting/workspace_metrics.h"
+#include "core/reporting/workspace_report.h"
 #include "core/routes/route_document.h"
 #include "core/routes/route_table.h"
 #include "core/routing/router.h"
 #include "core/routing/target_notices.h"
+#include "core/workspace_limits/fleet_limiter.h"
 
 namespace bulrushmount::detail {
 
@@ -55,6 +59,8 @@
   std::string MetricsText(TimePoint now) const;
   BurnReport BurnSnapshot(TimePoint now) { return m_recorder.Snapshot(now); }
   std::vector<Endpoint> PeerStreams() const;
+  WorkspaceReport WorkspaceSnapshot(TimePoint now) const;
+  PeerTraffic& traffic() { return m_traffic; }
 
  private:
   const Member* FindOwner(NodeId node) const override;
@@ -103,10 +109,15 @@
   void RunProbes(TimePoint now);
   void UpdateFleetSize();
   void UpdateMembers(TimePoint now);
+  void UpdateFleetLimiter(TimePoint now);
   void UpdateConfigSync(TimePoint now, const Member& member);
   void ApplyNewestRevision(TimePoint now);
   void ApplyDirectoryChanges(TimePoint now);
   void ApplyRouteDocument(TimePoint now);
+  // Whether a document that this process applies first may be older than that
+  // of its peers.
+  bool MayFirstDocumentBeOld() const;
+  void ApplyHeldDocument(TimePoint now);
   void ApplyEvacuationContract(TimePoint now, const Contract* contract);
   void ApplyEvacuations(TimePoint now);
   void ApplyTargetNotices(TimePoint now);
@@ -128,6 +139,7 @@
   TimePoint m_event_time;
   ActionQueue m_actions;
   TablePort m_table;
+  PeerTraffic m_traffic;
   DatagramActions m_datagrams;
 
   Membership m_membership;
@@ -141,12 +153,15 @@
   ConfigSync m_config_sync;
   WatchDuty m_watch_duty;
   WorkspaceLimiter m_limiter;
+  FleetLimiter m_fleet_limiter;
   Quarantine m_quarantine;
   ClaimBook m_claims;
   ClaimSweeper m_claim_sweeper;
   CallRecorder m_recorder;
   // Mutable because gauges are set when the page is rendered.
   mutable MetricsRegistry m_registry;
+  // Mutable for the same reason.
+  mutable WorkspaceMetrics m_workspace_metrics;
   TrafficMetrics m_metrics;
   Router m_router;
   TargetNotices m_notices;
@@ -159,6 +174,9 @@
   // by the number of member rows.
   bool m_has_set_peer_expectation = false;
   bool m_was_table_available = true;
+  // When the first document is applied at the latest; empty unless it is held
+  // until peers have reported theirs.
+  std::optional<TimePoint> m_first_document_due;
   // The evacuated zones that the router and the owner currently use.
   std::optional<std::vector<AvailabilityZone>> m_evacuated;
   TableEpoch m_epoch;
--- a/source/core/node_logic/node_logic.cc
+++ b/source/core/node_logic/node_logic.cc
@@ -41,10 +41,18 @@
   return m_node->StatusJson(now);
 }
 
+PeerTraffic* NodeLogic::traffic() {
+  return &m_node->traffic();
+}
+
 std::string NodeLogic::MetricsText(TimePoint now) const {
   return m_node->MetricsText(now);
 }
 
+WorkspaceReport NodeLogic::WorkspaceSnapshot(TimePoint now) const {
+  return m_node->WorkspaceSnapshot(now);
+}
+
 BurnReport NodeLogic::BurnSnapshot(TimePoint now) {
   return m_node->BurnSnapshot(now);
 }
--- a/source/core/node_logic/node_pages.cc
+++ b/source/core/node_logic/node_pages.cc
@@ -89,6 +89,21 @@
                "Members suspected by this node.", gossip.suspicions);
 }
 
+void AddTraffic(MetricsRegistry& registry, const PeerTraffic& traffic) {
+  for (std::size_t cause = 0; cause < kTrafficCauses; ++cause) {
+    for (std::size_t distance = 0; distance < kZoneDistances; ++distance) {
+      const auto cause_kind = static_cast<TrafficCause>(cause);
+      const auto distance_kind = static_cast<ZoneDistance>(distance);
+      registry
+          .GetCounter("bulrushmount_sent_bytes_total",
+                      "Sent to other nodes, by cause and distance.",
+                      {{"cause", std::string(ToToken(cause_kind))},
+                       {"distance", std::string(ToToken(distance_kind))}})
+          .RaiseTo(traffic.Bytes(cause_kind, distance_kind));
+    }
+  }
+}
+
 void AddClaims(MetricsRegistry& registry, const ClaimStats& claims) {
   RaiseCounter(registry, "bulrushmount_claims_granted_total", "Keys claimed.",
                claims.granted);
@@ -112,6 +127,14 @@
   return streams;
 }
 
+WorkspaceReport Node::WorkspaceSnapshot(TimePoint now) const {
+  WorkspaceReport report;
+  report.window = m_settings.workspace_limits.window;
+  report.uses = m_fleet_limiter.Uses(now);
+  report.nodes = 1;
+  return report;
+}
+
 std::string Node::StatusJson(TimePoint now) const {
   boost::json::array members;
   for (const Member* member : m_membership.table().Live())
@@ -141,6 +164,7 @@
       {"works", m_owner.size()},
       {"target", ToToken(m_owner.life().state())},
       {"load", ToJson(m_owner.LoadAt(now))},
+      {"workspaces", ToJsonArray(m_fleet_limiter.Uses(now))},
       {"members", std::move(members)},
   };
   return boost::json::serialize(status) + "\n";
@@ -177,6 +201,9 @@
   AddClaims(registry, m_claims.stats());
   RaiseCounter(registry, "bulrushmount_probes_total",
                "Probes of the target beside.", m_probes_sent);
+  m_workspace_metrics.Update(m_fleet_limiter.Counters(),
+                             m_fleet_limiter.Largest(kMaxWorkspaceSeries));
+  AddTraffic(registry, m_traffic);
   return registry.Page();
 }
 
--- a/source/core/node_logic/node_settings.h
+++ b/source/core/node_logic/node_settings.h
@@ -13,6 +13,7 @@
 #include "core/common/ids.h"
 #include "core/common/time.h"
 #include "core/node_logic/policy_switches.h"
+#include "core/workspace_limits/workspace_limits_settings.h"
 
 namespace bulrushmount {
 
@@ -55,6 +56,9 @@
   // additional delay for the caller that it is worth avoiding; 0 where transfer
   // is free.
   Duration zone_kilobyte{};
+  // Part of the spare time of a call's latency objective that it may spend to
+  // stay in its availability zone; 0: only the two costs above count.
+  double zone_spare_time_part = 0;
   Duration region_round_trip = std::chrono::milliseconds(30);
 
   // Duration of a target's cold start, over which its share of the picks rises.
@@ -88,6 +92,13 @@
   // start that was offered; 0 where targets do not report their speed.
   std::uint32_t selective_attempts = 0;
 
+  // Requests with a key of a workspace are refused if the routing document has
+  // not been confirmed as the newest for this long; empty: they are served.
+  std::optional<Duration> max_unconfirmed_document;
+
+  // Tolerance of the limits of workspaces over the fleet.
+  WorkspaceLimitsSettings workspace_limits;
+
   PolicySwitches policies;
 
   // Retry budget of the fleet: in any window of this length, hand-overs to
--- a/source/core/node_logic/node_updates.cc
+++ b/source/core/node_logic/node_updates.cc
@@ -31,6 +31,10 @@
 constexpr std::size_t kMembersPerQuery = 16;
 constexpr Duration kMaxRevisionQueryTime = std::chrono::seconds(10);
 
+// How long the first document waits for a peer's report. A new node joins
+// within some hundred milliseconds if a peer is reachable.
+constexpr Duration kMaxFirstDocumentHold = std::chrono::milliseconds(1500);
+
 }  // namespace
 
 void Node::PropagateChanges(TimePoint now) {
@@ -44,6 +48,7 @@
   ApplyTargetNotices(now);
   ApplyMemberChanges(now);
   ApplyNewestRevision(now);
+  ApplyHeldDocument(now);
   m_config_sync.SetWatchDuty(now, m_watch_duty.IsOnDuty(now));
   QueryMemberRevisions(now);
   TakeBroadcasts(now);
@@ -55,8 +60,10 @@
 void Node::ApplyDirectoryChanges(TimePoint now) {
   const std::optional<std::size_t> rows = m_directory.rows_found();
   if (rows && !std::exchange(m_has_set_peer_expectation, true)) {
-    m_config_sync.OnPeersExpected(
-        now, *rows >= MemberDirectorySettings{}.wanted_rows);
+    const bool has_peers = *rows >= MemberDirectorySettings{}.wanted_rows;
+    m_config_sync.OnPeersExpected(now, has_peers);
+    if (has_peers)
+      m_fleet_limiter.ExpectPeers();
   }
   const bool was_available =
       std::exchange(m_was_table_available, m_config_sync.is_table_available());
@@ -67,14 +74,18 @@
 void Node::ApplyMemberChanges(TimePoint now) {
   const std::vector<MemberChange> changes = m_membership.TakeChanges();
   bool has_peers_changed = false;
+  bool has_state_changed = false;
   for (const MemberChange& change : changes) {
     ApplyMemberChange(now, change);
     const bool is_live = IsLive(change.member.state);
     has_peers_changed |= change.kind != MemberChangeKind::kUpdated ||
                          is_live != IsLive(change.before);
+    has_state_changed |= change.member.state != change.before;
   }
   if (has_peers_changed)
     UpdateMembers(now);
+  if (has_peers_changed || has_state_changed)
+    UpdateFleetLimiter(now);
   if (!changes.empty())
     UpdateFleetSize();
 }
@@ -87,6 +98,13 @@
         .Add("member", ToHex(member.id))
         .Add("state", ToToken(member.state));
   }
+  if (change.kind == MemberChangeKind::kForgotten) {
+    m_traffic.RemovePeer(member.id, member.stream_endpoint,
+                         member.gossip_endpoint);
+  } else if (IsLive(member.state)) {
+    m_traffic.SetPeer(member.id, member.stream_endpoint, member.gossip_endpoint,
+                      DistanceOf(m_settings, member));
+  }
   UpdateConfigSync(now, member);
   UpdateRouter(now, member, change.kind == MemberChangeKind::kForgotten);
 }
@@ -155,8 +173,8 @@
   if (member.id == m_settings.id)
     return;
   if (IsLive(member.state)) {
-    m_config_sync.OnPeerRevision(now, member.id, member.gossip_endpoint,
-                                 member.revision);
+    m_config_sync.OnPeerRevision(now, member.id, member.zone,
+                                 member.gossip_endpoint, member.revision);
   } else {
     m_config_sync.OnPeerRemoved(member.gossip_endpoint);
   }
@@ -190,11 +208,12 @@
 void Node::QueryMemberRevisions(TimePoint now) {
   if (now < m_next_revision_query)
     return;
-  const std::size_t behind =
-      m_membership.QueryRevision(now, m_committed_revision, kMembersPerQuery);
-  const bool is_done = behind == 0 || now >= m_revision_queries_end;
-  m_next_revision_query =
-      is_done ? TimePoint::max() : now + kRevisionQueryPeriod;
+  m_membership.QueryRevision(now, m_committed_revision, kMembersPerQuery);
+  // Continues although no known member is behind: members that become known
+  // later may be, and their records can be older than their revisions.
+  m_next_revision_query = now >= m_revision_queries_end
+                              ? TimePoint::max()
+                              : now + kRevisionQueryPeriod;
 }
 
 void Node::UpdateMembers(TimePoint now) {
@@ -210,6 +229,19 @@
   m_quarantine.SetMembers(now, std::move(peers));
 }
 
+void Node::UpdateFleetLimiter(TimePoint now) {
+  const MemberTable& table = m_membership.table();
+  std::vector<FleetMember> live;
+  for (const Member* member : table.Live()) {
+    live.push_back({Peer{member->id, member->gossip_endpoint},
+                    member->state == MemberState::kSuspect});
+  }
+  std::vector<Peer> dead;
+  for (const Member* member : table.Dead())
+    dead.push_back(Peer{member->id, member->gossip_endpoint});
+  m_fleet_limiter.SetMembers(now, live, dead);
+}
+
 void Node::UpdateFleetSize() {
   const std::optional<TargetSummary> target = m_owner.life().Summary();
   FleetSize size;
@@ -269,6 +301,34 @@
   m_evacuations.OnRead(now, read);
 }
 
+bool Node::MayFirstDocumentBeOld() const {
+  const std::optional<std::size_t> rows = m_directory.rows_found();
+  if (!rows)
+    return true;
+  if (*rows == 0)
+    return false;
+  const std::vector<const Member*> live = m_membership.table().Live();
+  const bool has_report =
+      std::any_of(live.begin(), live.end(), [this](const Member* member) {
+        return member->id != m_settings.id && member->revision > Revision(0);
+      });
+  return !has_report || m_config_sync.newest_known() > m_contracts.revision();
+}
+
+// Load pattern: the table is restored from an older copy, and nodes are
+// restarted. A new process reads the older document before it has heard of its
+// peers' newer one, and accepts withdrawn keys or refuses valid ones until
+// then.
+void Node::ApplyHeldDocument(TimePoint now) {
+  if (!m_first_document_due)
+    return;
+  if (now < *m_first_document_due && MayFirstDocumentBeOld())
+    return;
+  m_first_document_due = now;
+  ApplyRouteDocument(now);
+  m_first_document_due.reset();
+}
+
 void Node::ApplyRouteDocument(TimePoint now) {
   const std::string* const text = m_contracts.RouteDocumentText();
   if (!text || !m_decoder)
@@ -283,12 +343,35 @@
     return;
   }
   auto& document = std::get<RouteDocument>(decoded);
+  // Without workspaces, an older document is better than none.
+  const bool is_first_with_keys =
+      !m_routes.is_known() && document.config.workspaces;
+  if (is_first_with_keys && MayFirstDocumentBeOld()) {
+    if (!m_first_document_due) {
+      m_first_document_due = now + kMaxFirstDocumentHold;
+      LogLine(LogLevel::kInfo, "routes.held")
+          .Add("revision", document.revision);
+    }
+    if (now < *m_first_document_due)
+      return;
+  }
   LogLine(LogLevel::kInfo, "routes.in_force")
       .Add("revision", document.revision)
       .Add("routes", document.config.routes.size())
-      .Add("services", document.config.services.size());
+      .Add("services", document.config.services.size())
+      .Add("workspaces",
+           document.config.workspaces ? document.config.workspaces->size() : 0);
+  // Withdrawn keys must be refused soon although a change is missed.
+  m_config_sync.SetWatchersCheck(document.config.workspaces.has_value());
   m_actions.Push(SetCallerBounds{document.config.callers});
+  std::vector<NamedRate> rates;
+  for (const Workspace& workspace :
+       document.config.workspaces.value_or(std::vector<Workspace>())) {
+    rates.push_back(
+        {workspace.name, {workspace.units_per_second, workspace.burst_units}});
+  }
   m_routes.Replace(std::move(document.config));
+  m_fleet_limiter.SetLimits(now, std::move(rates));
   m_owner.OnRoutesChanged(now);
 }
 
--- a/source/core/pipeline/call.h
+++ b/source/core/pipeline/call.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <limits>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 #include "core/claims/claim_types.h"
@@ -30,6 +31,9 @@
   std::uint32_t priority = 0;
   // Maximum number of targets that the call may be handed to.
   std::uint32_t max_hand_overs = std::numeric_limits<std::uint32_t>::max();
+  // The load balancer identifies the workspaces of requests: the key and the
+  // workspace that the caller has sent are not forwarded.
+  bool are_workspaces_checked = false;
 };
 
 // An attempt that was sent to an owner and has not ended.
@@ -69,9 +73,14 @@
   std::uint32_t attempts_made = 0;
   // Attempts that reached a target or may have reached one.
   std::uint32_t hand_overs = 0;
+  // Hand-overs for which the workspace has been charged; the first one when the
+  // call was admitted.
+  std::uint32_t charged_hand_overs = 1;
   std::vector<NodeId> tried;
   // Owners in `tried` that refused only because their target was too slow.
   OfferList offers;
+  // Owners of this node's zone that refused for lack of capacity.
+  std::uint32_t refusals_in_zone = 0;
   // Number of attempts with `is_selective` set.
   std::uint32_t selective_attempts = 0;
   Reason last_refusal = Reason::kNone;
@@ -99,6 +108,10 @@
   // The answer is replayed from an earlier request with the same idempotency
   // key.
   bool is_replay = false;
+  // Sent to the caller instead of the default of the reason.
+  std::optional<Duration> retry_after{};
+  // For the log line: what the reason was decided on. Static text.
+  std::string_view detail{};
 };
 
 }  // namespace bulrushmount
--- a/source/core/pipeline/dispatcher.h
+++ b/source/core/pipeline/dispatcher.h
@@ -16,6 +16,7 @@
 #include "core/pipeline/answer_profiles.h"
 #include "core/pipeline/ask_budget.h"
 #include "core/pipeline/call_pipeline.h"
+#include "core/pipeline/shed_shares.h"
 #include "core/pipeline/slowdown_threshold.h"
 #include "core/routing/retry_budget.h"
 #include "core/routing/router.h"
@@ -40,11 +41,23 @@
   virtual const Member* FindOwner(NodeId node) const = 0;
 };
 
+// Is notified of calls that are sent to an owner after an attempt that has
+// reached a target, or may have: their target may be the second one to which
+// the request is forwarded.
+class RepeatListener {
+ public:
+  virtual ~RepeatListener() = default;
+
+  // Called once for each such attempt that may add a hand-over.
+  virtual void OnRepeated(TimePoint now, const Call& call) = 0;
+};
+
 struct DispatcherSettings {
   NodeId self;
   AvailabilityZone zone;
   // See NodeSettings.
   Duration zone_kilobyte{};
+  double zone_spare_time_part = 0;
   std::uint32_t max_attempts = 4;
   // See NodeSettings.
   bool refusals_cost_no_retry = false;
@@ -78,6 +91,8 @@
     const OwnerDirectory& owners;
     RandomSource& random;
     ActionSink& actions;
+    // May be null.
+    RepeatListener* repeats = nullptr;
   };
 
   // The parts must outlive the object.
@@ -85,6 +100,8 @@
 
   void SetFleetSize(std::size_t nodes) { m_ask_budget.SetFleetSize(nodes); }
 
+  const ShedShares& shed_shares() const { return m_shed_shares; }
+
   void Start(TimePoint now, Call& call);
 
   void OnRefused(TimePoint now, const AttemptRefused& event);
@@ -128,6 +145,12 @@
   double AcceptableSlowdown(TimePoint now, const Call& call) const;
   // Cost of transferring the answer between zones, expressed as a delay.
   Duration CrossZoneDelay(const Call& call) const;
+  // How much later the call may start to stay in its zone; at least
+  // CrossZoneDelay.
+  Duration ZoneAdvantage(TimePoint now, const Call& call) const;
+  // The same for the choice between offers, as a difference of slowdowns.
+  double OfferAdvantage(TimePoint now, const Call& call) const;
+  bool IsInOwnZone(NodeId owner) const;
   Duration MaxHold(TimePoint now, const Call& call, const Member& owner) const;
   // Whether an attempt with an unknown outcome may be followed by another.
   bool MayRetryUnknownOutcome(const Call& call, Reason reason) const;
@@ -149,6 +172,7 @@
   SlowdownThreshold m_slowdown_threshold;
   AskBudget m_ask_budget;
   AnswerProfiles m_profiles;
+  ShedShares m_shed_shares;
 };
 
 }  // namespace bulrushmount
--- a/source/core/settings/daemon_settings.cc
+++ b/source/core/settings/daemon_settings.cc
@@ -196,6 +196,8 @@
   Assign(ReadDuration(map.Optional("zone_kilobyte"), {Duration(0), seconds(1)},
                       faults),
          settings.zone_kilobyte);
+  Assign(ReadNumber(map.Optional("zone_spare_time_part"), {0, 1}, faults),
+         settings.zone_spare_time_part);
   Assign(ReadDuration(map.Optional("region_round_trip"),
                       {Duration(0), seconds(10)}, faults),
          settings.region_round_trip);
@@ -262,6 +264,30 @@
   map.Finish();
 }
 
+void ReadWorkspaceKeys(const YamlNode* node,
+                       NodeSettings& settings,
+                       YamlFaults& faults) {
+  if (node == nullptr)
+    return;
+  YamlMapReader map(*node, faults);
+  settings.max_unconfirmed_document = ReadDuration(
+      map.Optional("max_unconfirmed"), {seconds(1), hours(24)}, faults);
+  map.Finish();
+}
+
+void ReadWorkspaceLimits(const YamlNode* node,
+                         WorkspaceLimitsSettings& limits,
+                         YamlFaults& faults) {
+  if (node == nullptr)
+    return;
+  YamlMapReader map(*node, faults);
+  Assign(ReadDuration(map.Required("window"), {seconds(1), minutes(1)}, faults),
+         limits.window);
+  Assign(ReadNumber(map.Optional("overage"), {0, 100}, faults), limits.overage);
+  Assign(ReadNumber(map.Optional("slack"), {0, 1e6}, faults), limits.slack);
+  map.Finish();
+}
+
 std::optional<LogLevel> ReadLogLevel(const YamlNode* node, YamlFaults& faults) {
   const std::optional<std::string> text = ReadText(node, faults);
   if (!text.has_value())
@@ -298,6 +324,9 @@
   settings.node.known_zones =
       ReadZones(map.Optional("known_availability_zones"), faults);
   ReadColdStart(map.Optional("cold_start"), settings.node.cold_start, faults);
+  ReadWorkspaceKeys(map.Optional("workspace_keys"), settings.node, faults);
+  ReadWorkspaceLimits(map.Optional("workspace_limits"),
+                      settings.node.workspace_limits, faults);
   settings.node.region =
       Region(ReadName(map.Required("region"), faults).value_or(""));
   settings.node.stream_endpoint =
--- a/source/core/transport/peers/http2_session.cc
+++ b/source/core/transport/peers/http2_session.cc
@@ -20,12 +20,20 @@
 
 constexpr std::uint32_t kMaxStreams = 4096;
 
+constexpr std::size_t kFrameHeadBytes = 9;
+
 // All streams share the connection's flow-control window. It is so large that
 // only the windows of the streams limit them, since otherwise one slow reader
 // would block the other streams.
 constexpr std::int32_t kConnectionWindow = 1 << 30;
 constexpr std::int32_t kStreamWindow = 65535;
 
+// Initial window of request bodies. Many requests are refused by the first
+// owners that are tried. Their bodies are sent only to the owner that accepts
+// the request, which opens the window at its first read; this costs the
+// accepted request one round trip.
+constexpr std::int32_t kRequestBodyWindow = 0;
+
 // nghttp2's default limit of 64 KB applies to the worst-case encoded size,
 // which would reject a head of many short fields that the peer accepts.
 constexpr std::size_t kMaxSentHeadBytes = 524'288;
@@ -77,6 +85,7 @@
   nghttp2_session_callbacks_set_on_frame_recv_callback(callbacks, &OnFrame);
   nghttp2_session_callbacks_set_before_frame_send_callback(callbacks,
                                                            &OnBeforeSend);
+  nghttp2_session_callbacks_set_on_frame_send_callback(callbacks, &OnFrameSent);
   nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks,
                                                             &OnDataChunk);
   nghttp2_session_callbacks_set_on_stream_close_callback(callbacks,
@@ -104,9 +113,13 @@
   }
   nghttp2_session_callbacks_del(callbacks);
   nghttp2_option_del(option);
+  const std::int32_t window =
+      side == Side::kClient ? kStreamWindow : kRequestBodyWindow;
   std::vector<nghttp2_settings_entry> settings = {
       {NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, kMaxStreams},
-      {NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, kStreamWindow}};
+      {NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE,
+       static_cast<std::uint32_t>(window)},
+      {kPackedHeadsSetting, 1}};
   nghttp2_submit_settings(m_session, NGHTTP2_FLAG_NONE, settings.data(),
                           settings.size());
   nghttp2_session_set_local_window_size(m_session, NGHTTP2_FLAG_NONE, 0,
@@ -129,6 +142,7 @@
   m_tick_timer.cancel();
   const auto streams = std::exchange(m_streams, {});
   for (const auto& [id, stream] : streams) {
+    CountStream(*stream);
     stream->OnClose(NGHTTP2_INTERNAL_ERROR);
   }
   OnSessionClosed();
@@ -153,6 +167,19 @@
   m_streams.insert_or_assign(id, std::move(stream));
 }
 
+HeaderList Http2Session::ShortestForm(HeadKind kind, HeaderList fields) const {
+  return m_reads_packed_heads ? PackHead(kind, std::move(fields)) : fields;
+}
+
+void Http2Session::OnSettings(const nghttp2_settings& settings) {
+  for (std::size_t index = 0; index < settings.niv; ++index) {
+    const nghttp2_settings_entry& entry = settings.iv[index];
+    if (entry.settings_id == kPackedHeadsSetting) {
+      m_reads_packed_heads = entry.value == 1;
+    }
+  }
+}
+
 std::shared_ptr<Http2Stream> Http2Session::OnPeerStream(std::int32_t) {
   return nullptr;
 }
@@ -169,6 +196,20 @@
   }
 }
 
+void Http2Session::OpenWindow(std::int32_t stream_id) {
+  // The acknowledgement of the settings shrinks the windows of open streams, so
+  // a window that was opened before it would be closed again.
+  if (!m_are_settings_acknowledged) {
+    m_windows_to_open.push_back(stream_id);
+    return;
+  }
+  if (!m_is_closed && m_session) {
+    nghttp2_session_set_local_window_size(m_session, NGHTTP2_FLAG_NONE,
+                                          stream_id, kStreamWindow);
+    ScheduleSend();
+  }
+}
+
 void Http2Session::Resume(std::int32_t stream_id) {
   if (!m_is_closed && m_session) {
     nghttp2_session_resume_data(m_session, stream_id);
@@ -352,6 +393,13 @@
   return is_taken ? 0 : NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
 }
 
+void Http2Session::OnSettingsAcknowledged() {
+  m_are_settings_acknowledged = true;
+  for (const std::int32_t stream_id : std::exchange(m_windows_to_open, {})) {
+    OpenWindow(stream_id);
+  }
+}
+
 int Http2Session::OnFrame(nghttp2_session*,
                           const nghttp2_frame* frame,
                           void* user_data) {
@@ -360,6 +408,14 @@
     self->OnGoaway();
     return 0;
   }
+  if (frame->hd.type == NGHTTP2_SETTINGS) {
+    if ((frame->hd.flags & NGHTTP2_FLAG_ACK) != 0) {
+      self->OnSettingsAcknowledged();
+    } else {
+      self->OnSettings(frame->settings);
+    }
+    return 0;
+  }
   const bool is_head = frame->hd.type == NGHTTP2_HEADERS;
   if (!is_head && frame->hd.type != NGHTTP2_DATA) {
     return 0;
@@ -393,6 +449,37 @@
   return 0;
 }
 
+int Http2Session::OnFrameSent(nghttp2_session*,
+                              const nghttp2_frame* frame,
+                              void* user_data) {
+  auto* const self = static_cast<Http2Session*>(user_data);
+  if (self->m_traffic == nullptr) {
+    return 0;
+  }
+  const std::size_t bytes = frame->hd.length + kFrameHeadBytes;
+  const auto stream = self->Find(frame->hd.stream_id);
+  if (stream) {
+    // The cause is known when the stream ends.
+    stream->AddSentBytes(bytes);
+  } else {
+    self->CountSent(bytes, TrafficCause::kOther);
+  }
+  return 0;
+}
+
+void Http2Session::CountSent(std::size_t bytes, TrafficCause cause) {
+  if (m_traffic != nullptr && m_distance) {
+    m_traffic->Add(cause, *m_distance, bytes);
+  }
+}
+
+void Http2Session::CountStream(Http2Stream& stream) {
+  const TrafficCause cause =
+      m_side == Side::kClient ? TrafficCause::kRequest : TrafficCause::kAnswer;
+  CountSent(stream.TakeSentBytes(),
+            stream.is_refused() ? TrafficCause::kRefusedAttempt : cause);
+}
+
 int Http2Session::OnDataChunk(nghttp2_session*,
                               std::uint8_t,
                               std::int32_t stream_id,
@@ -416,6 +503,7 @@
   const auto stream = self->Find(stream_id);
   if (stream) {
     self->m_streams.erase(stream_id);
+    self->CountStream(*stream);
     stream->OnClose(error_code);
   }
   return 0;
--- a/source/core/transport/peers/http2_stream.h
+++ b/source/core/transport/peers/http2_stream.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include <nghttp2/nghttp2.h>
 
@@ -29,8 +30,18 @@
                     public BodySink,
                     public std::enable_shared_from_this<Http2Stream> {
  public:
-  explicit Http2Stream(std::weak_ptr<Http2Session> session)
-      : m_session(std::move(session)) {}
+  // When the peer may send the body.
+  enum class InputStart : std::uint8_t {
+    // At once, up to the session's initial window.
+    kImmediate,
+    // At the first read, which opens the window.
+    kFirstRead,
+  };
+
+  explicit Http2Stream(std::weak_ptr<Http2Session> session,
+                       InputStart input_start = InputStart::kImmediate)
+      : m_session(std::move(session)),
+        m_is_window_open(input_start == InputStart::kImmediate) {}
 
   // A chunk is at most as large as the flow-control window. The next read
   // acknowledges the chunk and reopens the window.
@@ -67,6 +78,13 @@
   void SetHeadSent() { m_is_head_sent = true; }
   bool is_closed() const { return m_is_closed; }
 
+  // Bytes of the frames sent on this stream.
+  void AddSentBytes(std::size_t bytes) { m_sent_bytes += bytes; }
+  std::size_t TakeSentBytes() { return std::exchange(m_sent_bytes, 0); }
+  // The owner has refused the request.
+  void SetRefused() { m_is_refused = true; }
+  bool is_refused() const { return m_is_refused; }
+
   // False if the stream exceeds the limits for its heads.
   [[nodiscard]] bool AddField(std::string_view name, std::string_view value);
   HeaderList TakeFields() { return std::move(m_fields); }
@@ -100,10 +118,14 @@
   // Totals of all received fields, including those already taken.
   std::size_t m_field_bytes = 0;
   std::size_t m_field_count = 0;
+  std::size_t m_sent_bytes = 0;
+  bool m_is_refused = false;
   bool m_is_head_sent = false;
   bool m_is_closed = false;
 
   // --- From the peer ---
+  // False until the first read of a stream with InputStart::kFirstRead.
+  bool m_is_window_open = true;
   std::string m_input;
   // Bytes passed to the reader but not yet returned to the window.
   std::size_t m_unconsumed = 0;
--- a/source/core/transport/peers/node_stream_client.cc
+++ b/source/core/transport/peers/node_stream_client.cc
@@ -59,6 +59,7 @@
       m_stream->Abort();
       listener->OnLost(false, Reason::kNodeLost);
     } else if (reply->verdict == OwnerVerdict::kRefused) {
+      m_stream->SetRefused();
       listener->OnRefused(reply->reason, reply->load);
     } else if (reply->verdict == OwnerVerdict::kFailed) {
       listener->OnFailed(reply->reason, reply->load);
@@ -169,7 +170,8 @@
       waiting.stream->OnClose(NGHTTP2_CANCEL);
       return;
     }
-    const std::vector<nghttp2_nv> pairs = ToNameValues(waiting.fields);
+    const HeaderList fields = ShortestForm(HeadKind::kRequest, waiting.fields);
+    const std::vector<nghttp2_nv> pairs = ToNameValues(fields, indexing());
     nghttp2_data_provider provider = Http2Stream::DataProvider(*waiting.stream);
     const std::int32_t id =
         nghttp2_submit_request(session(), nullptr, pairs.data(), pairs.size(),
@@ -218,6 +220,10 @@
   std::shared_ptr<NodeClientSession> session = m_sessions[endpoint];
   if (!session || !session->is_usable()) {
     session = std::make_shared<NodeClientSession>(m_executor);
+    if (m_traffic != nullptr) {
+      session->CountTo(m_traffic);
+      session->SetDistance(m_traffic->DistanceOf(endpoint));
+    }
     session->Connect(endpoint);
     m_sessions[endpoint] = session;
     DropUnusable();
--- a/source/core/transport/peers/node_stream_server.cc
+++ b/source/core/transport/peers/node_stream_server.cc
@@ -86,7 +86,18 @@
   NodeServerSession(tcp::socket socket, WorkAcceptor& acceptor)
       : Http2Session(std::move(socket)), m_acceptor(acceptor) {}
 
-  void Start() { Open(Side::kServer); }
+  void Start(PeerTraffic* traffic) {
+    m_traffic = traffic;
+    CountTo(traffic);
+    Open(Side::kServer);
+  }
+
+  // The peer is known from its first request: its address has another port.
+  void SetPeer(NodeId entry) {
+    if (m_traffic != nullptr) {
+      SetDistance(m_traffic->DistanceOf(entry));
+    }
+  }
 
   void Drain() {
     if (is_closed()) {
@@ -103,7 +114,8 @@
     if (is_closed() || stream.is_closed()) {
       return;
     }
-    const std::vector<nghttp2_nv> pairs = ToNameValues(fields);
+    const HeaderList sent = ShortestForm(HeadKind::kReply, fields);
+    const std::vector<nghttp2_nv> pairs = ToNameValues(sent, indexing());
     nghttp2_data_provider provider = Http2Stream::DataProvider(stream);
     nghttp2_submit_response(session(), stream.id(), pairs.data(), pairs.size(),
                             has_body ? &provider : nullptr);
@@ -135,12 +147,14 @@
     }
     const auto self =
         std::static_pointer_cast<NodeServerSession>(shared_from_this());
-    auto stream = std::make_shared<Http2Stream>(self);
+    auto stream = std::make_shared<Http2Stream>(
+        self, Http2Stream::InputStart::kFirstRead);
     m_works.push_back(std::make_shared<ServerWork>(stream, self, m_acceptor));
     return stream;
   }
 
   WorkAcceptor& m_acceptor;
+  PeerTraffic* m_traffic = nullptr;
   // The requests whose streams are open.
   std::vector<std::shared_ptr<ServerWork>> m_works;
   bool m_is_draining = false;
@@ -158,6 +172,7 @@
   }
   m_request = std::move(*request);
   if (session) {
+    session->SetPeer(m_request.work.entry);
     session->PassToAcceptorLater(weak_from_this());
   }
 }
@@ -180,6 +195,9 @@
 }
 
 void ServerWork::Reply(const OwnerReply& reply, bool has_body) {
+  if (reply.verdict == OwnerVerdict::kRefused) {
+    m_stream->SetRefused();
+  }
   if (const auto session = m_session.lock()) {
     session->Respond(*m_stream, EncodeReply(reply), has_body);
   }
@@ -211,7 +229,7 @@
     auto session =
         std::make_shared<NodeServerSession>(std::move(socket), m_acceptor);
     m_sessions.push_back(session);
-    session->Start();
+    session->Start(m_traffic);
     if (m_is_draining) {
       session->Drain();
     }
--- a/source/unit_tests/core/pipeline/dispatcher_test.cc
+++ b/source/unit_tests/core/pipeline/dispatcher_test.cc
@@ -80,9 +80,11 @@
   std::vector<NodeAction> actions;
 };
 
-class DispatcherTest : public testing::Test, private CallSink {
+class DispatcherTest : public testing::Test,
+                       private CallSink,
+                       private RepeatListener {
  protected:
-  DispatcherTest()
+  explicit DispatcherTest(const DispatcherSettings& settings = MakeSettings())
       : m_router([] {
           return std::make_unique<PowerOfChoicesPicker>(
               PowerOfChoicesSettings{});
@@ -91,9 +93,9 @@
         m_claims(ClaimSettings(), m_table, m_random, WallAnchor{}),
         m_pipeline(*this),
         m_dispatcher(
-            MakeSettings(),
+            settings,
             Dispatcher::Parts{m_pipeline, m_router, m_retries, m_claims,
-                              m_notices, m_owners, m_random, m_actions}) {
+                              m_notices, m_owners, m_random, m_actions, this}) {
     for (std::uint64_t node = 1; node <= kOwners; ++node) {
       const ZoneDistance distance = NodeId(node) == kNear
                                         ? ZoneDistance::kSameZone
@@ -151,6 +153,7 @@
   CallPipeline m_pipeline;
   Dispatcher m_dispatcher;
   std::optional<CallEnd> m_end;
+  int m_repeats = 0;
 
  private:
   void OnCallAccepted(TimePoint now, Call& call) override {
@@ -165,6 +168,7 @@
     m_dispatcher.OnDeadline(now, call);
   }
   void OnPermitLost(TimePoint, Call&) override {}
+  void OnRepeated(TimePoint, const Call&) override { ++m_repeats; }
   void OnCallEnded(TimePoint, Call&, const CallEnd& end) override {
     m_end = end;
   }
@@ -189,6 +193,23 @@
   EXPECT_EQ(m_end->outcome, Outcome::kAnswered);
 }
 
+// Guards against a request that reaches two targets and counts once against the
+// limit of its workspace, and against attempts that no target saw and count.
+TEST_F(DispatcherTest, NotesAttemptsAfterOneThatMayHaveReachedATarget) {
+  const CallId call = Start(true);
+  m_dispatcher.OnRefused(
+      m_now, {call, LastAttempt().attempt, Reason::kSlowTarget, LoadReport{}});
+  EXPECT_EQ(m_actions.Count<DispatchAttempt>(), 2U);
+  EXPECT_EQ(m_repeats, 0);
+  m_dispatcher.OnLost(m_now,
+                      {call, LastAttempt().attempt, false, Reason::kNodeLost});
+  EXPECT_EQ(m_actions.Count<DispatchAttempt>(), 3U);
+  EXPECT_EQ(m_repeats, 1);
+  m_dispatcher.OnRefused(
+      m_now, {call, LastAttempt().attempt, Reason::kSlowTarget, LoadReport{}});
+  EXPECT_EQ(m_repeats, 1);
+}
+
 // The owner may have handed the call to its target and may still answer.
 TEST_F(DispatcherTest, KeepsANonRepeatableCallAtASilentOwner) {
   const CallId call = Start(false);
@@ -327,5 +348,58 @@
                     HoldCase{"Large", 500'000, 150ms, 200ms}),
     [](const auto& info) { return std::string(info.param.name); });
 
+// Calls may spend half of their spare time to stay in their zone. Usual answers
+// take 75 ms of an objective of 300 ms.
+class OwnZoneTest : public DispatcherTest {
+ protected:
+  OwnZoneTest() : DispatcherTest(MakeZoneSettings()) {
+    for (int answer = 0; answer < 40; ++answer) {
+      Start(true);
+      Answer(75ms, 1'500);
+    }
+  }
+
+  static DispatcherSettings MakeZoneSettings() {
+    DispatcherSettings settings = MakeSettings();
+    settings.zone_spare_time_part = 0.5;
+    return settings;
+  }
+
+  void RefuseAsSlow(CallId call, double slowdown) {
+    m_dispatcher.OnRefused(m_now, {call,
+                                   LastAttempt().attempt,
+                                   Reason::kSlowTarget,
+                                   {.limit = 12, .slowdown = slowdown}});
+  }
+};
+
+// Guards against calls that leave their zone as soon as a target elsewhere
+// looks slightly faster.
+TEST_F(OwnZoneTest, CallStaysInItsZoneWhileItHasSpareTime) {
+  ASSERT_EQ(LastAttempt().owner, kNear);
+  const CallId refused = Start(true);
+  RefuseAsSlow(refused, 2.0);
+  EXPECT_NE(LastAttempt().owner, kNear);
+  Start(true);
+  EXPECT_EQ(LastAttempt().owner, kNear);
+}
+
+// Guards against the same once every owner has offered only a slow start.
+TEST_F(OwnZoneTest, SlightlySlowerOfferOfTheOwnZoneIsTaken) {
+  const CallId call = Start(true);
+  for (std::uint64_t owner = 1; owner <= kOwners; ++owner)
+    RefuseAsSlow(call, LastAttempt().owner == kNear ? 2.5 : 2.0);
+  EXPECT_EQ(LastAttempt().owner, kNear);
+}
+
+// Guards against calls that miss their objective because they wait for their
+// zone.
+TEST_F(OwnZoneTest, MuchSlowerOfferOfTheOwnZoneIsNotTaken) {
+  const CallId call = Start(true);
+  for (std::uint64_t owner = 1; owner <= kOwners; ++owner)
+    RefuseAsSlow(call, LastAttempt().owner == kNear ? 5.0 : 2.0);
+  EXPECT_NE(LastAttempt().owner, kNear);
+}
+
 }  // namespace
 }  // namespace bulrushmount
