--- a/source/unit_tests/core/node_logic/routed_node_test.cc
+++ b/source/unit_tests/core/node_logic/routed_node_test.cc
@@ -423,6 +423,62 @@
         RetryCase{"BookingShed", "/book/1", true, true, Outcome::kNotRun}),
     [](const auto& info) { return std::string(info.param.name); });
 
+struct ShedCase {
+  const char* name;
+  // Every nth request is answered, the others are shed.
+  int answered_every;
+  Duration least;
+  Duration most;
+};
+
+class ShedRetryAfterTest : public RoutedNodeTest,
+                           public testing::WithParamInterface<ShedCase> {
+ protected:
+  void Answer(const DispatchAttempt& attempt, WorkId work) {
+    Deliver(TargetAnswerBegun{work, 200});
+    Deliver(TargetAnswerEnded{work});
+    Deliver(AttemptAnswerBegun{attempt.call, attempt.attempt, 200});
+    Deliver(AttemptAnswerEnded{attempt.call, attempt.attempt});
+  }
+};
+
+// Guards against callers that are kept away until they are late, although an
+// idle target sheds only part of its requests; and against callers that return
+// at once to a target that sheds them all.
+TEST_P(ShedRetryAfterTest, DependsOnHowManyAreShed) {
+  Start();
+  std::optional<AnswerCaller> refusal;
+  for (int count = 0; count < 40; ++count) {
+    Advance(20ms);
+    Call("/read/1");
+    const auto attempt = Arrive();
+    ASSERT_TRUE(attempt);
+    if (const auto probe = Next<SendProbe>())
+      Deliver(ProbeAnswered{probe->probe, true, 1ms, InstanceId("i-1"),
+                            TargetLoadSample{0, 0, 9, 1}});
+    const auto hand_over = Next<HandToTarget>();
+    ASSERT_TRUE(hand_over);
+    if (count % GetParam().answered_every == 0) {
+      Answer(*attempt, hand_over->work);
+      continue;
+    }
+    Deliver(TargetAnswerBegun{hand_over->work, 503, true});
+    Refuse(*attempt, Reason::kShed);
+    refusal = Next<AnswerCaller>();
+    ASSERT_TRUE(refusal);
+  }
+  ASSERT_TRUE(refusal->retry_after);
+  EXPECT_GE(*refusal->retry_after, GetParam().least);
+  EXPECT_LE(*refusal->retry_after, GetParam().most);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Targets,
+    ShedRetryAfterTest,
+    testing::Values(ShedCase{"HalfShed", 2, 20ms, 40ms},
+                    ShedCase{"NearlyAllShed", 100, 250ms, 500ms}),
+    [](const auto& info) { return std::string(info.param.name); });
+
 // Failure: a service serves nothing for seconds, not even requests that need no
 // other service. A service that all targets call fails, all targets answer with
 // status 500, and each owner takes its own target out of service.
--- a/source/unit_tests/core/pipeline/dispatcher_test.cc
+++ b/source/unit_tests/core/pipeline/dispatcher_test.cc
@@ -384,6 +384,17 @@
   EXPECT_EQ(LastAttempt().owner, kNear);
 }
 
+// Guards against owners of the own zone that refuse a start which would be in
+// time, so that the call leaves the zone.
+TEST_F(OwnZoneTest, OwnerOfTheOwnZoneMayOfferASlowerStart) {
+  const CallId call = Start(true);
+  ASSERT_EQ(LastAttempt().owner, kNear);
+  const double own_zone = LastAttempt().head.max_slowdown;
+  RefuseAsSlow(call, 9.0);
+  ASSERT_NE(LastAttempt().owner, kNear);
+  EXPECT_GT(own_zone, LastAttempt().head.max_slowdown + 0.5);
+}
+
 // Guards against the same once every owner has offered only a slow start.
 TEST_F(OwnZoneTest, SlightlySlowerOfferOfTheOwnZoneIsTaken) {
   const CallId call = Start(true);
