Collect the events of a stopped node before delivering them in the test fleet

Cause: Fleet::StopNode delivered events while it walked the list of streams, and a peer that learns of a lost attempt opens another stream, which may move or shorten the list. TargetNoticesHistories.KeepTheGuarantees crashed once gossip drew other random numbers; it passes now.

--- a/source/unit_tests/core/node_logic/fleet.cc
+++ b/source/unit_tests/core/node_logic/fleet.cc
@@ -275,7 +275,9 @@
     if (call.entry == index && !call.outcome)
       call.is_connection_closed = true;
   }
-  // Its peers detect the closed connections.
+  // Its peers detect the closed connections. They may open further streams when
+  // they do, so the events are collected first.
+  std::vector<std::pair<std::size_t, NodeEvent>> events;
   for (const auto& stream : m_streams) {
     if (stream->is_closed)
       continue;
@@ -285,12 +287,14 @@
       lost.call = stream->call;
       lost.attempt = stream->attempt;
       if (m_nodes[stream->entry]->life == stream->entry_life)
-        Deliver(stream->entry, lost);
+        events.emplace_back(stream->entry, lost);
     } else if (stream->entry == index && stream->entry_life == life) {
       stream->is_closed = true;
-      Deliver(stream->owner, WorkCancelled{stream->work});
+      events.emplace_back(stream->owner, WorkCancelled{stream->work});
     }
   }
+  for (auto& [peer, event] : events)
+    Deliver(peer, std::move(event));
   node.target.runs.clear();
 }
 
