Ignore failures that all targets of a service have in common

Cause: while all targets of a service shed half of their requests, the targets that an entry had used had a record of failures, and those that it had not looked better. Every second look-up of limits went to another zone on its first attempt, and was shed there as often.

Only failures above twice the mean of all targets of the service count against a target now.

--- a/source/core/routing/power_of_choices_picker.cc
+++ b/source/core/routing/power_of_choices_picker.cc
@@ -45,6 +45,13 @@
 constexpr Duration kFailureDecay = 2s;
 constexpr double kFailureFactor = 50.0;
 
+// Load pattern: all targets of a service shed part of their requests for some
+// seconds. The targets that this node has used have a record of failures, and
+// those that it has not look better, so calls would leave their availability
+// zone for targets that shed just as often. So only failures above this
+// multiple of the mean of all targets count.
+constexpr double kCommonFailureFactor = 2.0;
+
 // Time for which a refusal for draining excludes the target; by then membership
 // reports it.
 constexpr Duration kClosedDuration = 1s;
@@ -246,6 +253,7 @@
 void PowerOfChoicesPicker::RecordFailureSample(TimePoint now,
                                                Target& target,
                                                double sample) {
+  m_mean_failure += kMeanGain * (sample - m_mean_failure);
   const double failure = FailureOf(now, target);
   target.failure = failure + kFailureGain * (sample - failure);
   target.failed_at = now;
@@ -259,6 +267,12 @@
                       ToSeconds(kFailureDecay));
 }
 
+double PowerOfChoicesPicker::ExcessFailureOf(TimePoint now,
+                                             const Target& target) const {
+  return std::max(
+      0.0, FailureOf(now, target) - kCommonFailureFactor * m_mean_failure);
+}
+
 double PowerOfChoicesPicker::LoadOf(TimePoint now, const Target& target) const {
   const double mean = m_mean_others_per_slot * CapacityOf(now, target);
   if (!target.limit)
@@ -332,7 +346,7 @@
   // Added, and in units of the mean service time: a target that fails instantly
   // has a score near 0, which a factor would not raise.
   const double failing =
-      kFailureFactor * FailureOf(now, target) * m_mean_service_seconds;
+      kFailureFactor * ExcessFailureOf(now, target) * m_mean_service_seconds;
   const double closed = now < target.closed_until ? kClosedPenaltySeconds : 0;
   return score + failing + closed;
 }
--- a/source/core/routing/power_of_choices_picker.h
+++ b/source/core/routing/power_of_choices_picker.h
@@ -92,6 +92,8 @@
   double LoadOf(TimePoint now, const Target& target) const;
   double ServiceTimeOf(TimePoint now, const Target& target) const;
   double FailureOf(TimePoint now, const Target& target) const;
+  // The part of the failure rate that distinguishes the target from others.
+  double ExcessFailureOf(TimePoint now, const Target& target) const;
   double SlowdownOf(TimePoint now, const Target& target) const;
   double CapacityOf(TimePoint now, const Target& target) const;
   double TransferTimeOf(const Target& target, const PickRequest& request) const;
@@ -107,6 +109,8 @@
   // recent report.
   double m_mean_others_per_slot = 0;
   double m_mean_service_seconds = 0;
+  // Mean over all targets of the recent fraction of failed attempts, in [0, 1].
+  double m_mean_failure = 0;
   // Number of reports in the means; stops counting when it no longer affects
   // their gain.
   std::uint32_t m_reports = 0;
--- a/source/unit_tests/core/routing/power_of_choices_picker_test.cc
+++ b/source/unit_tests/core/routing/power_of_choices_picker_test.cc
@@ -90,6 +90,37 @@
   EXPECT_GT(PicksOfTestedNode(), 0);
 }
 
+// Guards against calls that leave their zone, or flood the few targets without
+// a record, while all targets of a service shed half of their requests.
+TEST_F(PowerOfChoicesPickerTest, CommonFailuresDoNotCountAgainstATarget) {
+  Answer(kTestedNode, kNormalLoad, AnswerQuality::kGood);
+  for (std::uint64_t round = 0; round < 40; ++round) {
+    for (std::uint64_t node = 2; node <= kTargets; ++node) {
+      if ((round + node) % 2 == 0) {
+        m_picker.OnRefused(m_now, Send(NodeId(node)), Reason::kShed,
+                           kNormalLoad);
+      } else {
+        Answer(NodeId(node), kNormalLoad, AnswerQuality::kGood);
+      }
+    }
+  }
+  EXPECT_NEAR(PicksOfTestedNode(), kFairShare, 0.5 * kFairShare);
+}
+
+// Guards against a target that keeps its load although it fails most requests
+// and the others fail some.
+TEST_F(PowerOfChoicesPickerTest, MoreFailuresThanTheOthersCount) {
+  for (int round = 0; round < 40; ++round) {
+    for (std::uint64_t node = 1; node <= kTargets; ++node) {
+      m_now += 5ms;
+      const bool fails = node == kTestedNode.value() || round % 10 == 0;
+      Answer(NodeId(node), kNormalLoad,
+             fails ? AnswerQuality::kServerError : AnswerQuality::kGood);
+    }
+  }
+  EXPECT_EQ(PicksOfTestedNode(), 0);
+}
+
 struct RefusalCase {
   Reason reason;
   bool is_avoided;
