--- a/source/benchmarks/workspace_limits_benchmark.cc
+++ b/source/benchmarks/workspace_limits_benchmark.cc
@@ -1,6 +1,6 @@
 // Measures the limits of workspaces over the fleet at one node: the heap for
 // mostly idle workspaces, and the processor time of an admission. Bytes on the
-// network are measured by RankedLimiterTest.
+// network are covered by RankedLimiterTest.
 //   workspace_limits_benchmark
 
 #include <chrono>
--- a/source/core/admission/admission_queue.h
+++ b/source/core/admission/admission_queue.h
@@ -5,7 +5,7 @@
 // Load pattern: many workspaces of very different sizes share a target that can
 // serve all of them in time. Fair queueing would make a large workspace's
 // requests late by letting small ones that have more time left go first. So
-// workspaces are only told apart while the queue is contended.
+// workspaces are only distinguished while the queue is contended.
 //
 // Load pattern: for some seconds more requests arrive than can be answered in
 // time. In pure deadline order every one of them would be answered slightly too
--- a/source/core/node_logic/node_updates.cc
+++ b/source/core/node_logic/node_updates.cc
@@ -316,7 +316,7 @@
 }
 
 // Load pattern: the table is restored from an older copy, and nodes are
-// restarted. A new process reads the older document before it has heard of its
+// restarted. A new process reads the older document before it knows of its
 // peers' newer one, and accepts withdrawn keys or refuses valid ones until
 // then.
 void Node::ApplyHeldDocument(TimePoint now) {
--- a/source/unit_tests/core/admission/fair_load_test.cc
+++ b/source/unit_tests/core/admission/fair_load_test.cc
@@ -322,7 +322,7 @@
   // Demand relative to the capacity.
   double load;
   // Maximum part of the requests in time that is lost because workspaces are
-  // told apart.
+  // distinguished.
   double most_lost;
 };
 
--- a/source/unit_tests/core/node_logic/nested_overload_test.cc
+++ b/source/unit_tests/core/node_logic/nested_overload_test.cc
@@ -103,7 +103,8 @@
   Duration handling_time;
   // Offered calls relative to the capacity of the called service.
   double load;
-  // Requests of a workspace to the called service per second, beside the calls.
+  // Requests of a workspace to the called service per second, in addition to
+  // the calls.
   double workspace_rate = 0;
 };
 
@@ -252,9 +253,9 @@
 
 class NestedCallsOfWorkspacesTest : public NestedOverloadTest {};
 
-// Guards against rules for nested calls beside requests of workspaces that let
-// nested calls wait or hold them while they overload their targets themselves:
-// 0.85 of full load was served.
+// Guards against rules for nested calls together with requests of workspaces
+// that let nested calls wait or hold them while they overload their targets
+// themselves: 0.85 of full load was served.
 TEST_P(NestedCallsOfWorkspacesTest, MoreThanCanBeServedCostsNoGoodAnswers) {
   constexpr std::uint64_t seed_count = 8;
   double full = 0;
--- a/source/unit_tests/core/node_logic/workspace_keys_test.cc
+++ b/source/unit_tests/core/node_logic/workspace_keys_test.cc
@@ -210,7 +210,7 @@
 
 // Failure: the table is restored from an older copy, and nodes are restarted. A
 // new process accepts withdrawn keys, and refuses valid ones, until its peers
-// have told it about the newer document.
+// have reported the newer document.
 TEST_F(WorkspaceKeysTest, NodesRestartedAfterARestoreReturnNoKey) {
   const InMemoryTable copy = m_fleet.table().table();
   m_fleet.WriteDocument("2 b:one d:two");
@@ -309,7 +309,7 @@
 }
 
 // Failure: a node that was frozen serves withdrawn keys when it resumes, before
-// it has heard of the withdrawal.
+// it knows of the withdrawal.
 TEST_F(StrictKeysTest, AFrozenNodeServesNoKeyBeforeItIsConfirmed) {
   constexpr std::size_t node = 10;
   m_fleet.Freeze(node);
--- a/source/unit_tests/core/pipeline/shed_shares_test.cc
+++ b/source/unit_tests/core/pipeline/shed_shares_test.cc
@@ -27,7 +27,7 @@
 
 class ShedSharesTest : public testing::TestWithParam<ShedCase> {};
 
-// Guards against callers that are told to wait for hundreds of milliseconds,
+// Guards against callers that are sent away for hundreds of milliseconds,
 // and miss their objective, although every other attempt succeeds; and against
 // immediate retries at targets that shed everything.
 TEST_P(ShedSharesTest, ImmediateRetryNeedsSomeAnswers) {
--- a/source/unit_tests/core/workspace_limits/fleet_limiter_fault_test.cc
+++ b/source/unit_tests/core/workspace_limits/fleet_limiter_fault_test.cc
@@ -229,11 +229,10 @@
   std::string name;
   std::function<void(Play&)> run;
   // Smallest part of the calls that must be served when the workspaces send
-  // their usual rate, limit / 1.6; some percent less than the smallest that was
-  // measured over eight seeds. Less than all is served where the home is lost:
-  // only the reserve is granted until it is declared dead some 4 s later, and a
-  // new home starts with an empty bucket. Isolated nodes have only their part
-  // of the rate. A bucket without burst is often empty by chance.
+  // their usual rate, limit / 1.6. Less than all is served where the home is
+  // lost: only the reserve is granted until it is declared dead some 4 s later,
+  // and a new home starts with an empty bucket. Isolated nodes have only their
+  // part of the rate. A bucket without burst is often empty by chance.
   double share = 1.0;
 };
 
