--- a/source/benchmarks/workspace_limits_benchmark.cc
+++ b/source/benchmarks/workspace_limits_benchmark.cc
@@ -86,6 +86,7 @@
 
   // Workspaces whose home is this node are admitted without a message.
   std::vector<Peer> peers;
+  peers.reserve(members.size());
   for (const FleetMember& member : members)
     peers.push_back(member.peer);
   std::vector<WorkspaceName> own;
--- a/source/core/contracts/config_sync.cc
+++ b/source/core/contracts/config_sync.cc
@@ -507,12 +507,12 @@
 }
 
 std::optional<Endpoint> ConfigSync::PickSource() {
-  const std::optional<Endpoint> source = std::exchange(m_source, std::nullopt);
+  std::optional<Endpoint> source = std::exchange(m_source, std::nullopt);
   if (!DistinguishesZones())
     return source ? source : PickNewerPeer(/*accepts_far=*/true);
   if (source && !IsFar(*source))
     return source;
-  if (const std::optional<Endpoint> near = PickNewerPeer(/*accepts_far=*/false))
+  if (std::optional<Endpoint> near = PickNewerPeer(/*accepts_far=*/false))
     return near;
   return source ? source : PickNewerPeer(/*accepts_far=*/true);
 }
--- a/source/core/pipeline/retry_after_policy.h
+++ b/source/core/pipeline/retry_after_policy.h
@@ -59,8 +59,8 @@
 // For refusals at random that an immediate retry is likely to avoid; see
 // ShedShares. The jitter separates callers that were refused together.
 inline Duration DrawImmediateRetryAfter(RandomSource& random) {
-  constexpr double kMinSeconds = 0.02;
-  return FromSeconds(kMinSeconds * (1.0 + random.Fraction()));
+  constexpr double min_seconds = 0.02;
+  return FromSeconds(min_seconds * (1.0 + random.Fraction()));
 }
 
 namespace detail {
--- a/source/unit_tests/core/contracts/config_confirmation_test.cc
+++ b/source/unit_tests/core/contracts/config_confirmation_test.cc
@@ -81,9 +81,9 @@
 
 // Nodes are in three availability zones in turn.
 AvailabilityZone ZoneOf(std::size_t index) {
-  constexpr std::size_t kZones = 3;
+  constexpr std::size_t zones = 3;
   return AvailabilityZone(
-      std::string(1, static_cast<char>('a' + index % kZones)));
+      std::string(1, static_cast<char>('a' + index % zones)));
 }
 
 // Nodes that exchange datagrams with a delay and with losses. The first few
--- a/source/unit_tests/core/pipeline/fleet_limit_filter_test.cc
+++ b/source/unit_tests/core/pipeline/fleet_limit_filter_test.cc
@@ -36,9 +36,11 @@
   FleetLimitFilterTest() : m_pipeline(*this) {
     auto filter = std::make_unique<FleetLimitFilter>(m_limiter, m_pipeline);
     m_pipeline.AddFilter(std::move(filter));
+    constexpr std::size_t workspaces = 20;
     std::vector<NamedRate> rates;
+    rates.reserve(workspaces);
     // Of a few workspaces, the other node is the home of some.
-    for (int index = 0; index < 20; ++index)
+    for (std::size_t index = 0; index < workspaces; ++index)
       rates.push_back({WorkspaceName("w" + std::to_string(index)), {10, 10}});
     for (const NamedRate& named : rates) {
       const std::uint64_t key = KeyOf(named.workspace).value();
