Do not grant units before the document is known

A node without a document does not answer requests for units. Entries ask the deputy, as for any silent home. The test fleet gave a restarted node its limits at its start, so it could not show this; it can start one without now.

--- a/source/core/workspace_limits/unit_home.cc
+++ b/source/core/workspace_limits/unit_home.cc
@@ -98,6 +98,11 @@
 void UnitHome::OnRequest(TimePoint now,
                          const Requester& requester,
                          const UnitRequest& request) {
+  // Members know a node that has just started some hundred milliseconds before
+  // it has a document. Until then it cannot tell an unlimited workspace from a
+  // limited one, and the deputy answers.
+  if (!m_rates.is_known())
+    return;
   const ActiveRate* const named = m_rates.Find(request.workspace);
   if (!named) {
     // The entry has another version of the document, in which the workspace is
--- a/source/core/workspace_limits/workspace_rates.h
+++ b/source/core/workspace_limits/workspace_rates.h
@@ -35,6 +35,7 @@
   // Workspaces without a limit need no record.
   void Replace(std::vector<NamedRate> rates, Duration window) {
     m_rates.clear();
+    m_is_known = true;
     for (NamedRate& named : rates) {
       if (!named.rate.IsLimited())
         continue;
@@ -71,6 +72,8 @@
   }
 
   bool empty() const { return m_rates.empty(); }
+  // Whether this process has a document.
+  bool is_known() const { return m_is_known; }
 
  private:
   // A burst without a rate is allowed once per window. As a bucket would never
@@ -82,6 +85,7 @@
     return {half / ToSeconds(window), half};
   }
 
+  bool m_is_known = false;
   std::unordered_map<WorkspaceKey, ActiveRate> m_rates;
 };
 
--- a/source/unit_tests/core/workspace_limits/fleet_limiter_fault_test.cc
+++ b/source/unit_tests/core/workspace_limits/fleet_limiter_fault_test.cc
@@ -441,6 +441,37 @@
   EXPECT_GE(taken_over, 2U);
 }
 
+// Guards against a restarted node that admits any number of requests of the
+// workspaces whose home it is, until it has received the document.
+TEST(FleetLimiterTakeoverTest, ANewHomeWithoutADocumentGrantsNothing) {
+  constexpr std::size_t count = 60;
+  constexpr int calls = 300;
+  const WorkspaceRate rate{10, 20};
+  UnitFleet fleet(10, kSettings, 1);
+  UnitLoad load(fleet, 1);
+  std::vector<NamedRate> rates;
+  for (std::size_t index = 0; index < count; ++index)
+    rates.push_back({NameOf(index), rate});
+  fleet.SetLimits(rates);
+  fleet.Advance(40s);
+  fleet.Leave(0);
+  fleet.Advance(20s);
+  fleet.RestartWithoutDocument(0);
+  fleet.Advance(600ms);
+  const double bound = WindowBound(kSettings, rate);
+  std::size_t homes = 0;
+  for (std::size_t index = 0; index < count; ++index) {
+    if (fleet.HomeOf(NameOf(index)) != 0)
+      continue;
+    ++homes;
+    for (int call = 0; call < calls; ++call)
+      load.Call(1, NameOf(index));
+    load.Run(100ms);
+    EXPECT_LE(load.TallyOf(NameOf(index)).admitted, bound);
+  }
+  EXPECT_GE(homes, 2U);
+}
+
 class RecordedResponses : public DatagramPort {
  public:
   void Send(const Endpoint&, DatagramKind, std::string payload) override {
--- a/source/unit_tests/core/workspace_limits/unit_fleet.h
+++ b/source/unit_tests/core/workspace_limits/unit_fleet.h
@@ -94,8 +94,14 @@
     }
   }
 
-  // A new process at the same address.
+  // A new process at the same address, which has the document.
   void Restart(std::size_t index) {
+    RestartWithoutDocument(index);
+    SetLimitsAt(index, m_rates);
+  }
+
+  // The same before it has received the document.
+  void RestartWithoutDocument(std::size_t index) {
     StartProcess(index);
     Node& node = m_nodes[index];
     node.reaches.assign(size(), true);
@@ -120,7 +126,6 @@
                                      version, node.process});
       }
     }
-    SetLimitsAt(index, m_rates);
     RefreshReachability();
   }
 
