--- a/source/unit_tests/core/reporting/workspace_report_test.cc
+++ b/source/unit_tests/core/reporting/workspace_report_test.cc
@@ -74,6 +74,7 @@
   WorkspaceMetrics metrics(registry);
   std::vector<WorkspaceCounters> counters;
   std::vector<WorkspaceName> largest;
+  largest.reserve(counters.size());
   for (int index = 0; index < 100; ++index) {
     counters.push_back(
         {WorkspaceName("w" + std::to_string(index)), {10, 2, 1, 0}});
