--- a/source/unit_tests/core/reporting/workspace_report_test.cc
+++ b/source/unit_tests/core/reporting/workspace_report_test.cc
@@ -75,6 +75,7 @@
   std::vector<WorkspaceCounters> counters;
   std::vector<WorkspaceName> largest;
   largest.reserve(counters.size());
+  counters.reserve(100);
   for (int index = 0; index < 100; ++index) {
     counters.push_back(
         {WorkspaceName("w" + std::to_string(index)), {10, 2, 1, 0}});
--- a/source/unit_tests/core/workspaces/workspace_table_test.cc
+++ b/source/unit_tests/core/workspaces/workspace_table_test.cc
@@ -35,11 +35,11 @@
 // Guards against a hash that uses too few bits, which would make the look-up
 // linear.
 TEST(KeyDigestTest, HashesAreDistinct) {
-  constexpr std::size_t kKeys = 10'000;
+  constexpr std::size_t keys_per_workspace = 10'000;
   std::unordered_set<std::size_t> hashes;
-  for (std::size_t i = 0; i < kKeys; ++i)
+  for (std::size_t i = 0; i < keys_per_workspace; ++i)
     hashes.insert(std::hash<KeyDigest>()(KeyDigest::Of(std::to_string(i))));
-  EXPECT_EQ(hashes.size(), kKeys);
+  EXPECT_EQ(hashes.size(), keys_per_workspace);
 }
 
 struct ChangeCase {
