Do not learn a target's speed across a pause of its owner

What callers saw: after a node was frozen for a second, its target got a fraction of its share for 10 to 20 s although it was idle and well, and the others carried its load. TargetNoticesUnderFaults shows it with OwnerFreezes and OwnerFreezesWithQueuedWork.

Change: a node whose wakeup is late by 100 ms or more notes a pause. Works that were running are then no samples of the target's speed, neither when answered nor when cancelled, the time of the pause counts neither as time for which they held their slots nor as time in which others waited. node.paused in the log says how long it was.

--- a/source/core/admission/admission.cc
+++ b/source/core/admission/admission.cc
@@ -156,7 +156,7 @@
   Running& running = found->second;
   running.is_answer_begun = true;
   running.is_server_error = is_server_error;
-  if (is_server_error)
+  if (is_server_error || running.is_time_unknown)
     return;
   const Duration elapsed = now - running.started_at;
   m_service_times.OnFirstByte(
@@ -175,7 +175,9 @@
   const Running running = std::move(found->second);
   m_running.erase(found);
   Release(running);
-  if (end == WorkEnd::kAnswered && !running.is_server_error) {
+  const bool is_sample = end == WorkEnd::kAnswered &&
+                         !running.is_server_error && !running.is_time_unknown;
+  if (is_sample) {
     m_service_times.OnSlotFreed(
         running.kind, running.weight,
         UndisturbedTime(now - running.started_at, running.slowdown_at_start));
@@ -192,7 +194,7 @@
   const Running running = std::move(found->second);
   m_running.erase(found);
   Release(running);
-  if (!running.is_answer_begun) {
+  if (!running.is_answer_begun && !running.is_time_unknown) {
     m_service_times.OnAborted(
         running.kind, running.weight,
         UndisturbedTime(now - running.started_at, running.slowdown_at_start));
@@ -200,6 +202,17 @@
   return Reschedule(now);
 }
 
+// The time of the pause is neither time in which works waited for a slot nor
+// time that running works took.
+void Admission::OnPaused(TimePoint now, Duration length) {
+  UpdateHistories(std::max(m_histories_updated_at, now - length));
+  m_histories_updated_at = now;
+  for (auto& [work, running] : m_running) {
+    running.is_time_unknown = true;
+    running.started_at = std::min(now, running.started_at + length);
+  }
+}
+
 AdmissionOutput Admission::OnTimer(TimePoint now) {
   return Reschedule(now);
 }
--- a/source/core/admission/admission.h
+++ b/source/core/admission/admission.h
@@ -173,6 +173,11 @@
   // Cancels a waiting or a started work; ignores unknown ones.
   AdmissionOutput OnCancelled(TimePoint now, WorkId work);
 
+  // This process did not run for `length` until `now`. Answers that arrived
+  // meanwhile are handled late, so the works in progress are no samples of the
+  // target's speed.
+  void OnPaused(TimePoint now, Duration length);
+
   // Refuses works that can no longer be served. Call it at `NextWakeup`.
   AdmissionOutput OnTimer(TimePoint now);
   std::optional<TimePoint> NextWakeup() const;
@@ -199,6 +204,8 @@
     bool is_suspect = false;
     bool is_answer_begun = false;
     bool is_server_error = false;
+    // The process was paused while the work ran.
+    bool is_time_unknown = false;
   };
 
   struct ClassHistory {
--- a/source/core/node_logic/node.cc
+++ b/source/core/node_logic/node.cc
@@ -29,6 +29,10 @@
 // Ten times the time after which the first rows are visible to other nodes.
 constexpr Duration kFirstStartWindow = std::chrono::seconds(1);
 
+// A wakeup that is late by this much means that the process did not run, or
+// hardly. Below, lateness cannot be told from a busy machine.
+constexpr Duration kMinPause = std::chrono::milliseconds(100);
+
 // If no call arrives for this long, all callers are assumed to know that the
 // node is leaving.
 constexpr Duration kIdleTime = std::chrono::milliseconds(500);
@@ -196,6 +200,7 @@
 }
 
 std::vector<NodeAction> Node::Handle(TimePoint now, NodeEvent event) {
+  DetectPause(now);
   m_event_time = now;
   std::visit(
       [this, now](auto&& one) { On(now, std::forward<decltype(one)>(one)); },
@@ -204,6 +209,16 @@
   return m_actions.Take();
 }
 
+void Node::DetectPause(TimePoint now) {
+  if (now - m_event_time < kMinPause)
+    return;
+  const Duration late = now - NextWakeup();
+  if (late < kMinPause)
+    return;
+  LogLine(LogLevel::kWarning, "node.paused").Add("ms", ToMilliseconds(late));
+  m_owner.OnPaused(now, late);
+}
+
 // While callers are served during a shutdown, a periodic check finds out
 // whether calls still arrive.
 TimePoint Node::NextLeaveStep() const {
--- a/source/core/node_logic/node.h
+++ b/source/core/node_logic/node.h
@@ -97,6 +97,11 @@
   void On(TimePoint now, const TimerFired& event);
   void On(TimePoint now, const ShutdownRequested& event);
 
+  // Detects that this process did not run: it was stopped, its machine was
+  // suspended, or the clock jumped ahead. What was measured across that time
+  // says nothing about targets.
+  void DetectPause(TimePoint now);
+
   // Called after each event: propagates changes of one module to the others.
   void PropagateChanges(TimePoint now);
   void ApplyMemberChanges(TimePoint now);
--- a/source/core/node_logic/owner_side.cc
+++ b/source/core/node_logic/owner_side.cc
@@ -337,6 +337,10 @@
   SyncAdmission(now);
 }
 
+void OwnerSide::OnPaused(TimePoint now, Duration length) {
+  m_admission.OnPaused(now, length);
+}
+
 void OwnerSide::OnTimer(TimePoint now) {
   CheckAnnouncements(now);
   if (m_life.NextWakeup() <= now)
--- a/source/core/node_logic/owner_side.h
+++ b/source/core/node_logic/owner_side.h
@@ -76,6 +76,9 @@
   // The node leaves: no new requests are accepted, running ones continue.
   void Drain(TimePoint now);
 
+  // This process did not run for `length` until `now`.
+  void OnPaused(TimePoint now, Duration length);
+
   void OnTimer(TimePoint now);
   TimePoint NextWakeup() const;
 
