Do not count announcements of a pause as missing

When an owner that was frozen resumes, its timer may run before the announcements of that time are read: all of them counted as missing, so a well target left service until its next announcement. And the interval across the pause became the period, after which a crash would have been detected only twice that later.

Change: a pause moves the time from which announcements are expected, and the interval that contains it defines no period.

--- a/source/core/node_logic/announcement_watch.h
+++ b/source/core/node_logic/announcement_watch.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <optional>
+#include <utility>
 
 #include "core/common/time.h"
 
@@ -18,6 +19,11 @@
   // one.
   void OnAnnounced(TimePoint now, bool is_same) {
     const Duration since = now - m_last;
+    // An interval that contains a pause of this process defines no period.
+    if (std::exchange(m_is_interval_unknown, false) && is_same) {
+      m_last = now;
+      return;
+    }
     if (!is_same)
       m_period.reset();
     else if (since >= kMinPeriod)
@@ -25,6 +31,13 @@
     m_last = now;
   }
 
+  // This process did not run for `length`. Announcements of that time have not
+  // been read yet, so none is missing.
+  void OnPaused(Duration length) {
+    m_last += length;
+    m_is_interval_unknown = true;
+  }
+
   // Whether an announcement is missing at `now`; call repeatedly until it
   // returns false.
   bool ConsumeMissed(TimePoint now) {
@@ -45,8 +58,10 @@
   // period.
   static constexpr Duration kMinPeriod = std::chrono::milliseconds(100);
 
-  // Time of the last announcement, received or missed.
+  // Time of the last announcement, received or missed, plus later pauses of
+  // this process.
   TimePoint m_last;
+  bool m_is_interval_unknown = false;
   std::optional<Duration> m_period;
 };
 
--- a/source/core/node_logic/owner_side.cc
+++ b/source/core/node_logic/owner_side.cc
@@ -339,6 +339,7 @@
 
 void OwnerSide::OnPaused(TimePoint now, Duration length) {
   m_admission.OnPaused(now, length);
+  m_announcements.OnPaused(length);
 }
 
 void OwnerSide::OnTimer(TimePoint now) {
