Do not learn from attempts across a pause of the entry

Load reports that had waited for the process counted as new.

Change: the dispatcher and the pickers are notified of a pause. Cancelled attempts from before it are ignored, silence counts from its end, and neither answer profiles nor acceptable slowdowns are learnt from them.

--- a/source/core/node_logic/entry_side.h
+++ b/source/core/node_logic/entry_side.h
@@ -72,6 +72,8 @@
     m_dispatcher.SetFleetSize(nodes);
   }
 
+  // This process did not run for some time until `now`.
+  void OnPaused(TimePoint now) { m_dispatcher.OnPaused(now); }
   void OnTimer(TimePoint now) { m_pipeline.OnTimer(now); }
   TimePoint NextWakeup() const { return m_pipeline.NextWakeup(); }
   std::size_t size() const { return m_pipeline.size(); }
--- a/source/core/node_logic/node.cc
+++ b/source/core/node_logic/node.cc
@@ -217,6 +217,7 @@
     return;
   LogLine(LogLevel::kWarning, "node.paused").Add("ms", ToMilliseconds(late));
   m_owner.OnPaused(now, late);
+  m_entry.OnPaused(now);
 }
 
 // While callers are served during a shutdown, a periodic check finds out
--- a/source/core/pipeline/dispatcher.cc
+++ b/source/core/pipeline/dispatcher.cc
@@ -111,8 +111,11 @@
   if (!call || !call->attempt->is_answer_begun)
     return;
   m_parts.router.OnEnded(now, call->attempt->dispatch, event.load);
-  m_profiles.OnAnswer(call->terms.kind.name, event.bytes,
-                      *call->answer_begun_at - call->attempt->dispatch.sent_at);
+  if (!WasPausedSince(call->attempt->dispatch)) {
+    m_profiles.OnAnswer(
+        call->terms.kind.name, event.bytes,
+        *call->answer_begun_at - call->attempt->dispatch.sent_at);
+  }
   EndAttempt(now, *call, false, true);
   CallEnd end;
   end.outcome = Outcome::kAnswered;
@@ -132,7 +135,7 @@
                                   const LoadReport& load) {
   call.last_load = load;
   m_parts.notices.OnReported(load);
-  if (load.limit > 0)
+  if (load.limit > 0 && !WasPausedSince(call.attempt->dispatch))
     m_slowdown_threshold.OnReported(now, call.head.service,
                                     call.attempt->dispatch.node, load.slowdown);
 }
@@ -212,6 +215,11 @@
   GiveUp(now, call, Reason::kSuspect);
 }
 
+void Dispatcher::OnPaused(TimePoint now) {
+  m_resumed_at = now;
+  m_parts.router.OnPaused(now);
+}
+
 Call* Dispatcher::FindAttempt(CallId id, AttemptNumber number) {
   Call* call = m_parts.pipeline.Find(id);
   if (!call || !call->attempt || call->attempt->number != number)
--- a/source/core/pipeline/dispatcher.h
+++ b/source/core/pipeline/dispatcher.h
@@ -118,6 +118,10 @@
   void OnCallerDisconnected(TimePoint now, CallId call);
   void OnDeadline(TimePoint now, Call& call);
   void OnPermitLost(TimePoint now, Call& call);
+  // This process did not run for some time until `now`: attempts in progress
+  // are no samples of the time that targets take, and their load reports may
+  // be old.
+  void OnPaused(TimePoint now);
 
  private:
   // Null if the event belongs to an attempt that is no longer current.
@@ -167,8 +171,15 @@
   void AbandonAttempt(TimePoint now, Call& call, Reason reason);
   static void RecordUnknownOutcome(Call& call, Reason reason);
 
+  // Whether the process was paused after the attempt was sent.
+  bool WasPausedSince(const Dispatch& dispatch) const {
+    return m_resumed_at && dispatch.sent_at < *m_resumed_at;
+  }
+
   DispatcherSettings m_settings;
   Parts m_parts;
+  // End of the last pause of this process.
+  std::optional<TimePoint> m_resumed_at;
   SlowdownThreshold m_slowdown_threshold;
   AskBudget m_ask_budget;
   AnswerProfiles m_profiles;
--- a/source/core/routing/power_of_choices_picker.cc
+++ b/source/core/routing/power_of_choices_picker.cc
@@ -195,7 +195,8 @@
   if (!target)
     return;
   Release(*target, dispatch);
-  if (dispatch.is_answer_begun)
+  const bool was_paused = m_resumed_at && dispatch.sent_at < *m_resumed_at;
+  if (dispatch.is_answer_begun || was_paused)
     return;
   // A frozen target never answers. When its last attempt has been cancelled,
   // nothing is in flight, and it would look idle and fast again. So the elapsed
@@ -207,6 +208,12 @@
   target->reported_at = now;
 }
 
+void PowerOfChoicesPicker::OnPaused(TimePoint now) {
+  m_resumed_at = now;
+  for (std::size_t index = 0; index < m_targets.size(); ++index)
+    m_targets.At(index).silent_since = now;
+}
+
 void PowerOfChoicesPicker::StopWaiting(Target& target,
                                        const Dispatch& dispatch) {
   if (dispatch.is_answer_begun || target.own_waiting == 0)
--- a/source/core/routing/power_of_choices_picker.h
+++ b/source/core/routing/power_of_choices_picker.h
@@ -52,6 +52,7 @@
   void OnLost(TimePoint now, const Dispatch& dispatch) override;
   void OnSilent(TimePoint now, const Dispatch& dispatch) override;
   void OnCancelled(TimePoint now, const Dispatch& dispatch) override;
+  void OnPaused(TimePoint now) override;
 
  private:
   // This node's data on one target.
@@ -114,6 +115,8 @@
   // Number of reports in the means; stops counting when it no longer affects
   // their gain.
   std::uint32_t m_reports = 0;
+  // End of the last pause of this process.
+  std::optional<TimePoint> m_resumed_at;
 };
 
 }  // namespace bulrushmount
--- a/source/core/routing/router.cc
+++ b/source/core/routing/router.cc
@@ -91,6 +91,11 @@
     picker->OnCancelled(now, dispatch);
 }
 
+void Router::OnPaused(TimePoint now) {
+  for (auto& [name, service] : m_services)
+    service.picker->OnPaused(now);
+}
+
 TargetPicker* Router::PickerOf(NodeId node) {
   const auto found = m_service_of.find(node);
   if (found == m_service_of.end())
--- a/source/core/routing/router.h
+++ b/source/core/routing/router.h
@@ -53,6 +53,7 @@
   void OnLost(TimePoint now, const Dispatch& dispatch);
   void OnSilent(TimePoint now, const Dispatch& dispatch);
   void OnCancelled(TimePoint now, const Dispatch& dispatch);
+  void OnPaused(TimePoint now);
 
  private:
   struct Service {
--- a/source/core/routing/target_picker.h
+++ b/source/core/routing/target_picker.h
@@ -113,6 +113,11 @@
   // The entry cancelled the attempt: the caller disconnected, or the deadline
   // passed.
   virtual void OnCancelled(TimePoint now, const Dispatch& dispatch) = 0;
+
+  // This process did not run for some time until `now`. What arrived meanwhile
+  // is reported only now, so the time that attempts in progress have taken is
+  // unknown.
+  virtual void OnPaused(TimePoint now) {}
 };
 
 }  // namespace bulrushmount
--- a/source/unit_tests/core/routing/power_of_choices_picker_test.cc
+++ b/source/unit_tests/core/routing/power_of_choices_picker_test.cc
@@ -249,6 +249,18 @@
   EXPECT_EQ(PicksOfTestedNode(), kPicks);
 }
 
+// Guards against targets that this node avoids after it was frozen itself,
+// because their answers were handled late.
+TEST_F(PowerOfChoicesPickerTest, PauseOfThisProcessSaysNothingAboutTargets) {
+  Answer(kTestedNode, kNormalLoad, AnswerQuality::kGood);
+  const Dispatch dispatch = Send(kTestedNode);
+  m_now += 2s;
+  m_picker.OnPaused(m_now);
+  AnswerFromOthers();
+  m_picker.OnCancelled(m_now, dispatch);
+  EXPECT_GT(PicksOfTestedNode(), kFairShare / 2);
+}
+
 struct TransferCase {
   const char* name;
   Duration transfer;
