Try a slow target again until it has recovered

What callers saw: a target that was 20 times slower for 2 s and then well got 0 to 3 of 80 calls a second for 40 s, so the others carried its load; after a freeze of its owner a target got half of what its limit allowed.

Cause, from a trace of the picks and reports: the owner's mean was 225 ms after five slow requests. It falls by a tenth with each fast one, but entries sent one in 5 to 13 s: a reported service time decays towards the mean of all targets, always from above, and at a low load some other target is idle, so the lowest score is never that of the slow one, even when it is a few percent off (34.3 ms among targets of 30 ms: not picked for 5 s). At 600 calls a second the others are busy, which is why it did not show there. Two more parts of it: refusals repeat the owner's last mean and so renewed it, and the slow target raised the mean that says who is slow.

Change: where a target has been slow, one request at a time finds out whether it still is: after as long a time as it has been slow, between 0.5 and 8 s, and at once after an answer that was not slow. Requests that would be late there are not used for that. A report confirms a service time only if it changed it or came with an answer, a report counts at most 1.5 times the mean in the mean, and differences below a fifth of the mean are taken for errors of the estimates.

--- a/source/core/routing/power_of_choices_picker.cc
+++ b/source/core/routing/power_of_choices_picker.cc
@@ -15,6 +15,9 @@
 
 // Weight of one report in the means over all targets.
 constexpr double kMeanGain = 0.05;
+// Caps a reported service time in the mean at this multiple of it, so that one
+// slow target among few does not hide that it is slow.
+constexpr double kMaxMeanRatio = 1.5;
 
 // Time constant of a load report, in service times: after a few of them most
 // requests that were running then have ended.
@@ -24,6 +27,23 @@
 // again.
 constexpr Duration kServiceTimeDecay = 2s;
 
+// Service times that differ from the mean by less than this part of it are
+// within the error of the estimates. At low load the lowest score always wins,
+// so a target would not be used because of a difference of a few percent, and
+// without requests its service time could not be corrected.
+constexpr double kServiceTimeError = 0.2;
+
+// Load pattern: a target was slow for some seconds, and the load is so low that
+// another target is always idle. However far its reported service time has
+// decayed, it would still be above the others' and the target would never be
+// picked. So one request at a time is sent there to find out whether it has
+// recovered: more rarely the longer it has been slow, since these requests are
+// late if it has not, and without a pause once one of them was not.
+constexpr Duration kMinTrialPause = 500ms;
+constexpr Duration kMaxTrialPause = 8s;
+// A trial is preferred to an idle target of the same distance.
+constexpr double kTrialFactor = 0.8;
+
 // Time constant of a reported slowdown. Short: an owner refuses a start that
 // would be slow, which costs one round trip, while avoiding a near target long
 // after its disturbance costs traffic between availability zones.
@@ -146,7 +166,11 @@
   StopWaiting(*target, dispatch);
   dispatch.is_answer_begun = true;
   target->silent_since = now;
+  RecordAnswerTime(*target,
+                   ToSeconds(now - dispatch.sent_at) / dispatch.weight);
   ApplyReport(now, *target, load);
+  // The report includes this answer.
+  target->service_seconds_at = now;
   RecordFailureSample(now, *target,
                       quality == AnswerQuality::kServerError ? 1.0 : 0.0);
 }
@@ -204,7 +228,7 @@
   const double elapsed = ToSeconds(now - dispatch.sent_at) / dispatch.weight;
   if (elapsed <= target->service_seconds)
     return;
-  target->service_seconds = elapsed;
+  RecordServiceTime(now, *target, elapsed);
   target->reported_at = now;
 }
 
@@ -248,9 +272,55 @@
                                           m_mean_others_per_slot);
   if (load.service_time <= Duration::zero())
     return;
-  target.service_seconds = ToSeconds(load.service_time);
-  m_mean_service_seconds +=
-      MeanGain() * (target.service_seconds - m_mean_service_seconds);
+  const double seconds = ToSeconds(load.service_time);
+  // An owner whose target has answered nothing since repeats its last mean.
+  if (seconds != target.service_seconds)
+    RecordServiceTime(now, target, seconds);
+  const double sample =
+      m_reports > 1
+          ? std::min(seconds, kMaxMeanRatio * m_mean_service_seconds)
+          : seconds;
+  m_mean_service_seconds += MeanGain() * (sample - m_mean_service_seconds);
+}
+
+void PowerOfChoicesPicker::RecordServiceTime(TimePoint now,
+                                             Target& target,
+                                             double seconds) {
+  if (!IsSlow(seconds)) {
+    target.slow_since.reset();
+    target.is_recovering = false;
+  } else if (!target.slow_since) {
+    target.slow_since = now;
+  }
+  target.service_seconds = seconds;
+  target.service_seconds_at = now;
+}
+
+void PowerOfChoicesPicker::RecordAnswerTime(Target& target,
+                                            double seconds) const {
+  if (IsSlow(seconds))
+    target.is_recovering = false;
+  else if (IsSlow(target.service_seconds))
+    target.is_recovering = true;
+}
+
+bool PowerOfChoicesPicker::IsSlow(double service_seconds) const {
+  return service_seconds > (1 + kServiceTimeError) * m_mean_service_seconds;
+}
+
+bool PowerOfChoicesPicker::IsTrialDue(TimePoint now,
+                                      const Target& target) const {
+  if (target.own_waiting > 0)
+    return false;
+  if (target.is_recovering)
+    return true;
+  if (!IsSlow(target.service_seconds))
+    return false;
+  const TimePoint confirmed_at = target.service_seconds_at;
+  const Duration slow_for =
+      confirmed_at - target.slow_since.value_or(confirmed_at);
+  return now - confirmed_at >=
+         std::clamp(slow_for, kMinTrialPause, kMaxTrialPause);
 }
 
 double PowerOfChoicesPicker::MeanGain() const {
@@ -292,13 +362,22 @@
 }
 
 double PowerOfChoicesPicker::ServiceTimeOf(TimePoint now,
-                                           const Target& target) const {
+                                           const Target& target,
+                                           const PickRequest& request) const {
   double seconds = m_mean_service_seconds;
   if (target.service_seconds > 0) {
     seconds = DecayTowards(target.service_seconds, seconds,
-                           ToSeconds(now - target.reported_at),
+                           ToSeconds(now - target.service_seconds_at),
                            ToSeconds(kServiceTimeDecay));
   }
+  const bool is_in_time =
+      seconds * request.weight < ToSeconds(request.time_left);
+  if (is_in_time && IsTrialDue(now, target))
+    return kTrialFactor * m_mean_service_seconds;
+  const double error = kServiceTimeError * m_mean_service_seconds;
+  seconds = m_mean_service_seconds +
+            std::max(0.0, seconds - m_mean_service_seconds - error) -
+            std::max(0.0, m_mean_service_seconds - seconds - error);
   if (target.own_waiting == 0)
     return seconds;
   // n requests of mean weight w answer at intervals of s * w / n, so a longer
@@ -344,7 +423,8 @@
                                      const Target& target,
                                      const PickRequest& request) const {
   const double capacity = CapacityOf(now, target);
-  const double service = ServiceTimeOf(now, target) * SlowdownOf(now, target);
+  const double service =
+      ServiceTimeOf(now, target, request) * SlowdownOf(now, target);
   const double utilisation = (LoadOf(now, target) + 1) / capacity;
   const double wait = service * std::max(0.0, utilisation - 1);
   const double congestion = service * CongestionOf(utilisation);
--- a/source/core/routing/power_of_choices_picker.h
+++ b/source/core/routing/power_of_choices_picker.h
@@ -71,6 +71,14 @@
     // Service time of a request of weight 1, as the owner last reported or as a
     // cancelled attempt without an answer implied.
     double service_seconds = 0;
+    // When an answer or a changed report last confirmed service_seconds.
+    TimePoint service_seconds_at;
+    // Since when reports have stated that the target is slow; empty if the last
+    // one did not.
+    std::optional<TimePoint> slow_since;
+    // Its last answer was not slow, although the owner still reports that it is
+    // on average.
+    bool is_recovering = false;
     // Slowdown of a start there, as the owner last reported; see LoadReport.
     double slowdown = 1.0;
     TimePoint reported_at;
@@ -89,9 +97,16 @@
   void Release(Target& target, const Dispatch& dispatch);
   void StopWaiting(Target& target, const Dispatch& dispatch);
   void ApplyReport(TimePoint now, Target& target, const LoadReport& load);
+  void RecordServiceTime(TimePoint now, Target& target, double seconds);
+  void RecordAnswerTime(Target& target, double seconds) const;
+  bool IsSlow(double service_seconds) const;
+  // Whether a request should find out if a slow target has recovered.
+  bool IsTrialDue(TimePoint now, const Target& target) const;
   void RecordFailureSample(TimePoint now, Target& target, double sample);
   double LoadOf(TimePoint now, const Target& target) const;
-  double ServiceTimeOf(TimePoint now, const Target& target) const;
+  double ServiceTimeOf(TimePoint now,
+                       const Target& target,
+                       const PickRequest& request) const;
   double FailureOf(TimePoint now, const Target& target) const;
   // The part of the failure rate that distinguishes the target from others.
   double ExcessFailureOf(TimePoint now, const Target& target) const;
--- a/source/unit_tests/core/routing/power_of_choices_picker_test.cc
+++ b/source/unit_tests/core/routing/power_of_choices_picker_test.cc
@@ -261,6 +261,76 @@
   EXPECT_GT(PicksOfTestedNode(), kFairShare / 2);
 }
 
+constexpr LoadReport kSlowLoad{.in_flight = 0,
+                               .queued = 0,
+                               .limit = 12,
+                               .service_time = 200ms};
+constexpr LoadReport kIdleLoad{.in_flight = 0,
+                               .queued = 0,
+                               .limit = 12,
+                               .service_time = 10ms};
+
+// At low load, one target of seven was slow.
+class RecoveredTargetPickTest : public PowerOfChoicesPickerTest {
+ protected:
+  RecoveredTargetPickTest() { AnswerFromOthers(kIdleLoad); }
+
+  int TrialsWithin(Duration length, Duration answer_time) {
+    int trials = 0;
+    for (const TimePoint end = m_now + length; m_now < end; m_now += 10ms) {
+      AnswerFromOthers(kIdleLoad);
+      const auto picked = m_picker.Pick(m_now, m_request, m_random);
+      if (picked != kTestedNode)
+        continue;
+      ++trials;
+      Dispatch dispatch = Send(kTestedNode);
+      m_now += answer_time;
+      m_picker.OnAnswerBegun(m_now, dispatch, kSlowLoad, AnswerQuality::kGood);
+      m_picker.OnEnded(m_now, dispatch, kSlowLoad);
+    }
+    return trials;
+  }
+
+  const PickRequest m_request{.time_left = 1s};
+};
+
+// Guards against a target that is not used for a minute after it was slow for
+// seconds: at low load others are always idle, and its reported service time
+// is corrected only by the requests that it gets.
+TEST_F(RecoveredTargetPickTest, IsUsedSoonAfterAFastAnswer) {
+  Answer(kTestedNode, kSlowLoad, AnswerQuality::kGood);
+  EXPECT_GT(TrialsWithin(4s, 10ms), 4 * 100 / kTargets / 2);
+}
+
+// Guards against trials that send a large part of the requests to a target that
+// is still slow.
+TEST_F(RecoveredTargetPickTest, IsTriedMoreRarelyTheLongerItIsSlow) {
+  Answer(kTestedNode, kSlowLoad, AnswerQuality::kGood);
+  const int early = TrialsWithin(8s, 200ms);
+  EXPECT_GE(early, 2);
+  EXPECT_LE(early, 6);
+  EXPECT_LE(TrialsWithin(32s, 200ms), 5);
+}
+
+TEST_F(RecoveredTargetPickTest, IsNotTriedWithARequestThatWouldBeLate) {
+  Answer(kTestedNode, kSlowLoad, AnswerQuality::kGood);
+  m_now += 600ms;
+  AnswerFromOthers(kIdleLoad);
+  for (int round = 0; round < kPicks; ++round) {
+    EXPECT_NE(m_picker.Pick(m_now, {.time_left = 50ms}, m_random),
+              kTestedNode);
+  }
+}
+
+// Guards against a target that is hardly used at low load because of a
+// difference that is within the error of the estimates.
+TEST_F(RecoveredTargetPickTest, SmallDifferencesDoNotDecide) {
+  LoadReport load = kIdleLoad;
+  load.service_time = 11ms;
+  Answer(kTestedNode, load, AnswerQuality::kGood);
+  EXPECT_NEAR(PicksOfTestedNode(), kFairShare, 0.5 * kFairShare);
+}
+
 struct TransferCase {
   const char* name;
   Duration transfer;
