Send no more nested calls to full targets than they answer

Cause, from the requests served in each half second and a series of trials: the throttle sends 1.05 calls for each one that full targets answer, and each call beyond that is refused and wastes the other call of its request.

Change: 1.0 calls for each answer while targets are full; with room it is 2.0 as before, so that the rate still rises when capacity returns.

--- a/source/core/pipeline/adaptive_throttle.cc
+++ b/source/core/pipeline/adaptive_throttle.cc
@@ -16,11 +16,11 @@
 // reliable estimate and cost owners little.
 constexpr double kMinCalls = 6;
 
-// Calls sent for each answered call. While the target is full: slightly more
-// than it answers, since each call that it refuses may waste another call of
-// the same request. While the target has room: enough for the rate to double
+// Calls sent for each answered call. While the target is full: not more than it
+// answers, since each call that it refuses may waste another call of the same
+// request. While the target has room: enough for the rate to double
 // within kTimeConstant after a burst.
-constexpr double kSentPerAnswerWhenFull = 1.05;
+constexpr double kSentPerAnswerWhenFull = 1.0;
 constexpr double kSentPerAnswerWithRoom = 2.0;
 
 // Some calls are always sent, since only their answers show that there is
--- a/source/core/pipeline/adaptive_throttle.h
+++ b/source/core/pipeline/adaptive_throttle.h
@@ -8,8 +8,9 @@
 // at once often gets one answered and one refused, so the answered one was
 // wasted.
 //
-// Therefore an entry sends only slightly more calls than were answered recently
-// and refuses the rest at once; calls that arrive together share one decision.
+// Therefore an entry sends, while targets are full, no more calls than were
+// answered recently and refuses the rest at once; calls that arrive together
+// share one decision.
 // This applies only to calls that targets make while serving their own
 // requests. For all other calls the owner has better information than the entry
 // about which to refuse.
