--- a/source/core/routing/power_of_choices_picker.cc
+++ b/source/core/routing/power_of_choices_picker.cc
@@ -277,9 +277,8 @@
   if (seconds != target.service_seconds)
     RecordServiceTime(now, target, seconds);
   const double sample =
-      m_reports > 1
-          ? std::min(seconds, kMaxMeanRatio * m_mean_service_seconds)
-          : seconds;
+      m_reports > 1 ? std::min(seconds, kMaxMeanRatio * m_mean_service_seconds)
+                    : seconds;
   m_mean_service_seconds += MeanGain() * (sample - m_mean_service_seconds);
 }
 
--- a/source/unit_tests/core/routing/power_of_choices_picker_test.cc
+++ b/source/unit_tests/core/routing/power_of_choices_picker_test.cc
@@ -317,8 +317,7 @@
   m_now += 600ms;
   AnswerFromOthers(kIdleLoad);
   for (int round = 0; round < kPicks; ++round) {
-    EXPECT_NE(m_picker.Pick(m_now, {.time_left = 50ms}, m_random),
-              kTestedNode);
+    EXPECT_NE(m_picker.Pick(m_now, {.time_left = 50ms}, m_random), kTestedNode);
   }
 }
 
