--- a/source/core/node_logic/node.cc
+++ b/source/core/node_logic/node.cc
@@ -30,7 +30,7 @@
 constexpr Duration kFirstStartWindow = std::chrono::seconds(1);
 
 // A wakeup that is late by this much means that the process did not run, or
-// hardly. Below, lateness cannot be told from a busy machine.
+// hardly. Below, lateness cannot be distinguished from a busy machine.
 constexpr Duration kMinPause = std::chrono::milliseconds(100);
 
 // If no call arrives for this long, all callers are assumed to know that the
--- a/source/core/node_logic/node.h
+++ b/source/core/node_logic/node.h
@@ -98,7 +98,7 @@
   void On(TimePoint now, const ShutdownRequested& event);
 
   // Detects that this process did not run: it was stopped, its machine was
-  // suspended, or the clock jumped ahead. What was measured across that time
+  // suspended, or the clock jumped ahead. What was learnt across that time
   // says nothing about targets.
   void DetectPause(TimePoint now);
 
