Handle an interrupted request body as a cancellation

Callers saw: after one or two uploads that their callers broke off, calls to healthy targets were refused with no-target until a probe had found the targets healthy again.

Cause: the end of a stream between nodes is reported to the reader of the request body before the cancellation. TargetClient ended the exchange as if the target had closed its connection, so the owner recorded a crash of its target.

The new RelayTest failed before in both its cases (0 cancellations, 1 failed exchange).

Change: TargetListener::OnRequestInterrupted; the owner's work is cancelled.

--- a/source/core/transport/targets/owner_works.cc
+++ b/source/core/transport/targets/owner_works.cc
@@ -131,6 +131,10 @@
     m_owner.m_events.Emit(TargetExchangeFailed{m_id, false});
   }
 
+  // The entry cancels the attempt, and the end of its body may be reported
+  // before the cancellation.
+  void OnRequestInterrupted() override { OnCancelled(); }
+
  private:
   void OnTargetEnded() {
     m_is_target_ended = true;
--- a/source/core/transport/targets/target_client.cc
+++ b/source/core/transport/targets/target_client.cc
@@ -249,9 +249,11 @@
   m_is_request_sent = result == PumpResult::kComplete;
   // If the target stops reading the request it may still answer, so a failed
   // sink is not an error here; reading the answer decides.
-  if (result == PumpResult::kSourceFailed) {
-    Fail();
-  }
+  if (result != PumpResult::kSourceFailed)
+    return;
+  End(false);
+  if (TargetListener* const listener = std::exchange(m_listener, nullptr))
+    listener->OnRequestInterrupted();
 }
 
 void Exchange::ReadHead() {
--- a/source/core/transport/targets/target_client.h
+++ b/source/core/transport/targets/target_client.h
@@ -23,8 +23,8 @@
 }  // namespace detail
 
 // Receives the result of one exchange with the target: exactly one of
-// OnConnectFailed, OnFailed and OnAnswer. After OnAnswer, `body` reports
-// further failures.
+// OnConnectFailed, OnFailed, OnRequestInterrupted and OnAnswer. After OnAnswer,
+// `body` reports further failures.
 class TargetListener {
  public:
   virtual ~TargetListener() = default;
@@ -39,6 +39,10 @@
 
   // Failed before an answer, after bytes of the request were sent.
   virtual void OnFailed() = 0;
+
+  // The source of the request's body failed, so the target did not get the
+  // complete request. This is no failure of the target.
+  virtual void OnRequestInterrupted() = 0;
 };
 
 class TargetExchange {
--- a/source/unit_tests/core/transport/relay_test.cc
+++ b/source/unit_tests/core/transport/relay_test.cc
@@ -291,6 +291,25 @@
   EXPECT_EQ(owner->logic.Count<WorkCancelled>(), 1U);
 }
 
+// Guards against a target that is taken out of service because a caller
+// disconnects in the middle of its request body.
+TEST_P(RelayTest, InterruptedRequestBodyIsNoFailureOfTheTarget) {
+  // More than an entry reads before it sends a request to an owner.
+  const std::string begun(200'000, 'x');
+  StartNodes([](RawPeer&) {});
+  caller->Send(
+      "POST /a HTTP/1.1\r\nHost: desk\r\nContent-Length: 500000\r\n\r\n" +
+      begun);
+  ASSERT_TRUE(RunUntil(*loop, [&] {
+    return target->connections() == 1 &&
+           target->peer(0).received().ends_with(begun);
+  }));
+  caller->Close();
+  ASSERT_TRUE(RunUntil(*loop, [this] { return target->peer(0).is_at_end(); }));
+  EXPECT_EQ(owner->logic.Count<WorkCancelled>(), 1U);
+  EXPECT_EQ(owner->logic.Count<TargetExchangeFailed>(), 0U);
+}
+
 // Guards against a caller getting part of the answer to another call:
 // concurrent pipelined calls, each answered with its path, could be given each
 // other's answers.
--- a/source/unit_tests/core/transport/target_client_test.cc
+++ b/source/unit_tests/core/transport/target_client_test.cc
@@ -20,6 +20,7 @@
  public:
   void OnConnectFailed() override { is_connect_failed = true; }
   void OnFailed() override { is_failed = true; }
+  void OnRequestInterrupted() override { is_failed = true; }
   void OnAnswer(AnswerHead head,
                 const TargetVerdict& verdict,
                 std::shared_ptr<BodySource> body) override {
