Try fewer owners for a call while all targets are full

Callers saw: at the start of a load of 1.7 times the capacity, half of the requests that could have been served were not (9, 11, 6 of 18, 19, 16 in each 50 ms).

Cause: a call tried 2.0 to 2.4 owners although all targets were full, which took all the processor time of owners with a tenth of a core, so answers waited. The ask budget allows one refusal per call, which is meant for a third of the targets being slow.

Change: while less than a tenth of the answers comes from targets with room, a refusal by the owner of a full target counts three times.

Refuted on the way: the same weight whether or not others have room.

--- a/source/core/pipeline/dispatcher.cc
+++ b/source/core/pipeline/dispatcher.cc
@@ -70,7 +70,8 @@
   const NodeId owner = call->attempt->dispatch.node;
   const bool is_in_zone = IsInOwnZone(owner);
   if (IsCapacityRefusal(event.reason)) {
-    m_ask_budget.OnRefused(now, call->head.service);
+    const bool has_room = event.load.limit == 0 || HasRoom(event.load);
+    m_ask_budget.OnRefused(now, call->head.service, has_room);
     call->refusals_in_zone += is_in_zone ? 1 : 0;
   }
   if (event.reason == Reason::kSlowTarget)
@@ -96,6 +97,7 @@
                                QualityOf(event.status));
   RecordLoadReport(now, *call, event.load);
   m_shed_shares.OnAnswered(now, call->head.service);
+  m_ask_budget.OnAnswered(now, call->head.service, HasRoom(event.load));
   m_parts.pipeline.DisarmDeadline(*call);
   call->attempt->is_answer_begun = true;
   call->answer_begun_at = now;
--- a/source/unit_tests/core/pipeline/ask_budget_test.cc
+++ b/source/unit_tests/core/pipeline/ask_budget_test.cc
@@ -26,6 +26,10 @@
   int refusals;
   Duration age;
   bool may_try_another;
+  // Whether the targets that refused and that answered had room.
+  bool has_room_when_refused = true;
+  int answers = 0;
+  int answers_with_room = 0;
 };
 
 class AskBudgetTest : public testing::TestWithParam<AskBudgetCase> {};
@@ -36,8 +40,10 @@
   const TimePoint now{1h};
   for (int call = 0; call < GetParam().calls; ++call)
     budget.OnCall(now, kService);
+  for (int answer = 0; answer < GetParam().answers; ++answer)
+    budget.OnAnswered(now, kService, answer < GetParam().answers_with_room);
   for (int refusal = 0; refusal < GetParam().refusals; ++refusal)
-    budget.OnRefused(now, kService);
+    budget.OnRefused(now, kService, GetParam().has_room_when_refused);
   EXPECT_EQ(budget.MayTryAnotherOwner(now + GetParam().age, kService,
                                       GetParam().owners),
             GetParam().may_try_another);
@@ -56,7 +62,17 @@
         // The same refusals are allowed if there are many owners
         // per entry.
         AskBudgetCase{"FewCallsToManyOwners", 60, 10, 15, 0ms, true},
-        AskBudgetCase{"FewCallsToFewOwners", 12, 10, 15, 0ms, false}),
+        AskBudgetCase{"FewCallsToFewOwners", 12, 10, 15, 0ms, false},
+        // Hardly any target has room.
+        AskBudgetCase{"AllFullAsAnswersShow", 12, 100, 50, 0ms, false, false,
+                      50, 4},
+        AskBudgetCase{"FewRefusalsWhileAllAreFull", 12, 100, 25, 0ms, true,
+                      false, 50, 4},
+        // Full targets refuse, but others have room.
+        AskBudgetCase{"SomeFull", 12, 100, 50, 0ms, true, false, 50, 10},
+        AskBudgetCase{"SlowWhileOthersAreFull", 12, 100, 50, 0ms, true, true,
+                      50, 4},
+        AskBudgetCase{"NoAnswersYet", 12, 100, 50, 0ms, true, false}),
     [](const auto& info) { return std::string(info.param.name); });
 
 }  // namespace
