--- a/source/core/node_logic/node_pages.cc
+++ b/source/core/node_logic/node_pages.cc
@@ -200,7 +200,7 @@
   AddGossip(registry, m_membership.counters());
   AddClaims(registry, m_claims.stats());
   RaiseCounter(registry, "bulrushmount_probes_total",
-               "Probes of the target beside.", m_probes_sent);
+               "Probes of the target of this node.", m_probes_sent);
   m_workspace_metrics.Update(m_fleet_limiter.Counters(),
                              m_fleet_limiter.Largest(kMaxWorkspaceSeries));
   AddTraffic(registry, m_traffic);
--- a/source/core/node_logic/owner_target.cc
+++ b/source/core/node_logic/owner_target.cc
@@ -27,7 +27,7 @@
   return IdentifyProcess(fmt::format("{} {}", heartbeat.instance, started));
 }
 
-// Without ids, targets are told apart by their addresses.
+// Without ids, targets are distinguished by their addresses.
 TargetProcess ProcessOf(const std::string& stream_ip,
                         const TargetAnnounced& announced) {
   return IdentifyProcess(fmt::format("{} {} {}", stream_ip,
--- a/source/core/pipeline/retry_after_policy.h
+++ b/source/core/pipeline/retry_after_policy.h
@@ -77,7 +77,7 @@
 }  // namespace detail
 
 // Expected time until the owner can start a new request, from the report that
-// it refused the call with; empty if the report does not tell.
+// it refused the call with; empty if the report does not state it.
 inline std::optional<Duration> TimeUntilFree(const LoadReport& load) {
   if (load.limit == 0 || load.service_time <= Duration::zero())
     return std::nullopt;
--- a/source/core/reporting/traffic_metrics.cc
+++ b/source/core/reporting/traffic_metrics.cc
@@ -49,7 +49,7 @@
 void TrafficMetrics::OnWork(std::string_view result, Duration wait) {
   m_registry
       .GetCounter("bulrushmount_works_total",
-                  "Requests for the target beside this node that ended.",
+                  "Requests for the target of this node that ended.",
                   {{"result", std::string(result)}})
       .Add();
   m_registry
--- a/source/core/transport/peers/local_node_stream.cc
+++ b/source/core/transport/peers/local_node_stream.cc
@@ -115,22 +115,22 @@
         request_pipe(MakePipe(executor)),
         answer_pipe(MakePipe(executor)) {}
 
-  void NotifyEntry(std::function<void(AttemptListener&)> tell) {
-    asio::post(executor, [self = shared_from_this(), tell = std::move(tell)] {
-      AttemptListener* const told =
-          std::exchange(self->attempt_listener, nullptr);
-      if (told) {
-        tell(*told);
-      }
-    });
+  void NotifyEntry(std::function<void(AttemptListener&)> notify) {
+    asio::post(executor,
+               [self = shared_from_this(), notify = std::move(notify)] {
+                 AttemptListener* const listener =
+                     std::exchange(self->attempt_listener, nullptr);
+                 if (listener)
+                   notify(*listener);
+               });
   }
 
   void NotifyOwner() {
     asio::post(executor, [self = shared_from_this()] {
-      WorkListener* const told = std::exchange(self->work_listener, nullptr);
-      if (told) {
-        told->OnCancelled();
-      }
+      WorkListener* const listener =
+          std::exchange(self->work_listener, nullptr);
+      if (listener)
+        listener->OnCancelled();
     });
   }
 
--- a/source/process_tests/pipeline_test.cc
+++ b/source/process_tests/pipeline_test.cc
@@ -1,5 +1,5 @@
 // Tests pipelined requests: those that were forwarded are answered completely
-// and in order although a process on their path is told to exit, and those of a
+// and in order although a process on their path shuts down, and those of a
 // disconnected caller are cancelled, so that they occupy no slots.
 
 #include <algorithm>
--- a/source/process_tests/target_notices_test.cc
+++ b/source/process_tests/target_notices_test.cc
@@ -89,8 +89,8 @@
   at(kTarget).node->Kill();
   StartNode(kTarget);
   Play(3s);
-  // The restarted node is an entry, too, and its callers' first requests tell
-  // it. The other entries know it.
+  // The restarted node is an entry, too, and learns the state from its callers'
+  // first requests. The other entries know it.
   EXPECT_LE(RunsSince(begin).size(), kCallers);
   const TimePoint settled_at = Now();
   ASSERT_TRUE(calls.WaitForMore(300));
--- a/source/soak/fault_schedule.h
+++ b/source/soak/fault_schedule.h
@@ -41,7 +41,7 @@
   kStallLinkDown,
   kSlowLink,
   // Statements of a server in its answers: it names a request rate, changes it
-  // and withdraws it; or it is leaving, while its heartbeats do not tell.
+  // and withdraws it; or it is leaving, while its heartbeats do not report it.
   kLimitServer,
   kLeaveByAnswers,
   // Not a fault: the operator writes a new version of the routes.
--- a/source/unit_tests/core/pipeline/retry_after_policy_test.cc
+++ b/source/unit_tests/core/pipeline/retry_after_policy_test.cc
@@ -96,7 +96,7 @@
                        0ms,
                        50ms,
                        100ms},
-        // The owner's queue does not tell when a target ends its interference.
+        // The owner's queue does not show when interference at its target ends.
         RetryAfterCase{"SlowTarget",
                        Reason::kSlowTarget,
                        {6, 11, 6, 200ms, 3.7},
