--- a/review/stand_ins/rig.h
+++ b/review/stand_ins/rig.h
@@ -725,6 +725,19 @@
 
   const std::string& id() const { return m_id; }
   std::atomic<int> running = 0;
+  // The health path answers 503.
+  std::atomic<bool> is_leaving = false;
+
+  // Heartbeats from now on are not sent but kept for TakeHeld.
+  void HoldHeartbeats() { m_is_holding = true; }
+  std::vector<std::string> TakeHeld() {
+    const std::lock_guard lock(m_held_mutex);
+    return std::exchange(m_held, {});
+  }
+  // Sends one call about this server to its node; returns the status.
+  int Call(const std::string& method, const std::string& body) {
+    return Ask(m_machine.control, RequestText(method, body), 1s).status;
+  }
 
   std::string LoadField() const {
     return "X-Bulrushmount-Server-Load: " + std::to_string(running.load()) +
@@ -737,8 +750,10 @@
     while (connection.ReadHead(head, Time::max() - 1h) == Ended::kComplete) {
       if (head.Word(1) == "/health") {
         if (!connection.Send(
-                "HTTP/1.1 200 OK\r\nX-Bulrushmount-Instance-Id: " + m_id +
-                "\r\n" + LoadField() + "Content-Length: 0\r\n\r\n"))
+                std::string(is_leaving ? "HTTP/1.1 503 Service Unavailable"
+                                       : "HTTP/1.1 200 OK") +
+                "\r\nX-Bulrushmount-Instance-Id: " + m_id + "\r\n" +
+                LoadField() + "Content-Length: 0\r\n\r\n"))
           return;
         continue;
       }
@@ -755,6 +770,22 @@
     }
   }
 
+  std::string HeartbeatBody(int sequence) const {
+    return "{\"service\":\"" + m_machine.service + "\",\"address\":\"" +
+           m_announced.Text() + "\",\"zone\":\"" + m_machine.zone +
+           "\",\"version\":\"v1\",\"slots\":" + std::to_string(m_slots) +
+           ",\"state\":\"ready\",\"cold_remaining_s\":0,\"seq\":" +
+           std::to_string(sequence) + "}";
+  }
+
+  std::string RequestText(const std::string& method,
+                          const std::string& body) const {
+    return method + " /v1/instances/" + m_id +
+           " HTTP/1.1\r\nHost: node\r\nContent-Type: application/json\r\n"
+           "Content-Length: " +
+           std::to_string(body.size()) + "\r\n\r\n" + body;
+  }
+
   void SendHeartbeats() {
     std::unique_ptr<Connection> connection;
     for (int sequence = 1;; ++sequence) {
@@ -762,17 +793,12 @@
         if (const int fd = Connect(m_machine.control); fd >= 0)
           connection = std::make_unique<Connection>(fd);
       }
-      if (connection) {
-        const std::string body =
-            "{\"service\":\"" + m_machine.service + "\",\"address\":\"" +
-            m_announced.Text() + "\",\"zone\":\"" + m_machine.zone +
-            "\",\"version\":\"v1\",\"slots\":" + std::to_string(m_slots) +
-            ",\"state\":\"ready\",\"cold_remaining_s\":0,\"seq\":" +
-            std::to_string(sequence) + "}";
-        connection->Send("PUT /v1/instances/" + m_id +
-                         " HTTP/1.1\r\nHost: node\r\n"
-                         "Content-Type: application/json\r\nContent-Length: " +
-                         std::to_string(body.size()) + "\r\n\r\n" + body);
+      const std::string body = HeartbeatBody(sequence);
+      if (m_is_holding) {
+        const std::lock_guard lock(m_held_mutex);
+        m_held.push_back(body);
+      } else if (connection) {
+        connection->Send(RequestText("PUT", body));
         if (ReadAnswer(*connection, Clock::now() + 1s).status != 200)
           connection.reset();
       }
@@ -785,6 +811,9 @@
   int m_slots;
   Run m_run;
   Endpoint m_announced;
+  std::atomic<bool> m_is_holding = false;
+  std::mutex m_held_mutex;
+  std::vector<std::string> m_held;
 };
 
 // --- A small deployment -----------------------------------------------------
