--- a/source/core/node_logic/owner_side.cc
+++ b/source/core/node_logic/owner_side.cc
@@ -458,41 +458,10 @@
   return Take(id);
 }
 
-// Called when an exchange has failed and no other is in progress: the target
-// counts as crashed until its next report.
-void OwnerSide::RecordCrash(TimePoint now) {
-  m_life.OnCrashed(now);
-  LogLine(LogLevel::kWarning, "target.crashed")
-      .Add("state", ToToken(m_life.state()));
-  SyncAdmission(now);
-}
-
 bool OwnerSide::IsAnyHandedOver() const {
   return std::any_of(m_works.begin(), m_works.end(), [](const auto& entry) {
     return entry.second.is_handed_over;
   });
 }
 
-void OwnerSide::CheckAnnouncements(TimePoint now) {
-  while (m_life.state() != TargetState::kGone &&
-         m_announcements.ConsumeMissed(now))
-    m_life.OnAnnouncementMissed(now);
-}
-
-void OwnerSide::SyncAdmission(TimePoint now) {
-  const Reason closed = ClosedReason();
-  const bool should_admit =
-      closed == Reason::kNone && m_announced && m_life.IsServing();
-  if (should_admit == m_is_admitting)
-    return;
-  m_is_admitting = should_admit;
-  if (should_admit) {
-    Apply(now, m_admission.SetTarget(now, m_announced->slots,
-                                     m_announced->connections));
-  } else {
-    Apply(now, m_admission.Drain(
-                   now, closed == Reason::kNone ? Reason::kDraining : closed));
-  }
-}
-
 }  // namespace bulrushmount::detail
