Limit a request until its answer is complete

Cause: the deadline left the timer with the first byte of the answer. Only min_progress_time (30 s without a byte) ended it then, and nothing ended an answer that makes progress for ever. The owner had no time limit at all.

Ruled out: a stall limit shorter than the timeout. It would cut an answer whose target pauses, and not one that moves.

Change: the deadline stays armed until the answer is complete. A route's timeout limits the first byte and the end; with a contract, which limits the first byte, the new setting transport.max_answer_time (1h) limits the end. The owner ends an overdue request by itself 100 ms later and closes the connection to its target.

--- a/source/core/node_logic/entry_side.cc
+++ b/source/core/node_logic/entry_side.cc
@@ -129,8 +129,8 @@
     m_pipeline.AddFilter(
         std::make_unique<FleetLimitFilter>(m_parts.fleet_limiter, m_pipeline));
   } else {
-    m_pipeline.AddFilter(
-        std::make_unique<ContractFilter>(m_parts.contracts, m_pipeline));
+    m_pipeline.AddFilter(std::make_unique<ContractFilter>(
+        m_parts.contracts, m_pipeline, settings.max_answer_time));
     m_pipeline.AddFilter(std::make_unique<LimitFilter>(m_parts.limiter));
   }
   // Throttles only if refusals cost no retry; otherwise the retry budget limits
--- a/source/core/node_logic/node_settings.h
+++ b/source/core/node_logic/node_settings.h
@@ -124,6 +124,11 @@
 
   // An answer without any transferred byte for this long is aborted.
   Duration min_progress_time = std::chrono::seconds(30);
+
+  // An answer that is not complete this long after its request arrived is
+  // aborted, also if it makes progress. Only without a routing document: the
+  // timeout of a route limits the complete answer.
+  Duration max_answer_time = std::chrono::hours(1);
 };
 
 }  // namespace bulrushmount
--- a/source/core/node_logic/owned_work.h
+++ b/source/core/node_logic/owned_work.h
@@ -22,6 +22,8 @@
   bool is_handed_over = false;
   bool is_answer_begun = false;
   int status = 0;
+  // Once handed over: when the owner ends it; see WorkTimeLimits.
+  TimePoint overdue_at;
   // State at the hand-over, for the log.
   TimePoint started_at;
   TargetProcess process;
--- a/source/core/node_logic/owner_side.cc
+++ b/source/core/node_logic/owner_side.cc
@@ -50,6 +50,7 @@
       m_admission(AdmissionSettingsOf(settings),
                   MakeConcurrencyLimit(settings),
                   &m_start_gate),
+      m_time_limits(settings),
       m_health_checker(routes, actions),
       m_stream_ip(settings.stream_endpoint.ip),
       m_needs_crash(settings.needs_crash_to_suspect),
@@ -261,6 +262,7 @@
   }
   found->second.is_answer_begun = true;
   found->second.status = event.status;
+  m_time_limits.OnAnswerBegun(event.work, found->second);
   if (event.load_sample)
     ApplyLoadSample(now, *event.load_sample);
   m_admission.OnAnswerBegun(now, event.work, event.status >= kFirstServerError);
@@ -342,7 +344,20 @@
   m_announcements.OnPaused(length);
 }
 
+void OwnerSide::EndOverdue(TimePoint now) {
+  while (const std::optional<WorkId> id = m_time_limits.TakeOverdue(now)) {
+    const std::optional<OwnedWork> work = TakeHandedOver(*id);
+    if (!work)
+      continue;
+    RecordEnd(now, *work, TraitsOf(Reason::kDeadlineExceeded).token);
+    m_quarantine.OnWorkEnded(work->admitted());
+    m_actions.Push(FailWork{*id, Reason::kDeadlineExceeded, LoadAt(now)});
+    Apply(now, m_admission.OnCancelled(now, *id));
+  }
+}
+
 void OwnerSide::OnTimer(TimePoint now) {
+  EndOverdue(now);
   CheckAnnouncements(now);
   if (m_life.NextWakeup() <= now)
     m_life.OnTimer(now);
@@ -354,6 +369,7 @@
 
 TimePoint OwnerSide::NextWakeup() const {
   TimePoint next = std::min(m_life.NextWakeup(), NextSpeedCheck());
+  next = std::min(next, m_time_limits.NextWakeup());
   if (const auto wakeup = m_admission.NextWakeup())
     next = std::min(next, *wakeup);
   if (m_life.state() != TargetState::kGone)
@@ -418,6 +434,7 @@
     work.slowdown_at_start = m_speed.slowdown();
     work.slowdown_age = m_speed.AgeAt(now);
     m_actions.Push(HandToTarget{id, work.deadline - now, m_instance});
+    m_time_limits.OnStarted(id, work);
   }
   VerifyWarmState(now);
 }
@@ -448,6 +465,8 @@
     return std::nullopt;
   OwnedWork work = std::move(found->second);
   m_works.erase(found);
+  if (work.is_handed_over)
+    m_time_limits.OnEnded(id, work);
   return work;
 }
 
--- a/source/core/node_logic/owner_side.h
+++ b/source/core/node_logic/owner_side.h
@@ -27,6 +27,7 @@
 #include "core/node_logic/node_settings.h"
 #include "core/node_logic/owned_work.h"
 #include "core/node_logic/target_health_checker.h"
+#include "core/node_logic/work_time_limits.h"
 #include "core/pipeline/dispatcher.h"
 #include "core/quarantine/quarantine.h"
 #include "core/reporting/traffic_metrics.h"
@@ -146,6 +147,7 @@
                  WorkId work,
                  Reason reason,
                  RequestResult result);
+  void EndOverdue(TimePoint now);
   // Removes and returns the work; empty if it has already ended.
   std::optional<OwnedWork> Take(WorkId work);
   // Like Take, but empty if the work was not handed over: a queued work must
@@ -177,6 +179,7 @@
   CombinedStartGate m_start_gate{m_cold_starts, m_start_rate};
   Admission m_admission;
   std::unordered_map<WorkId, OwnedWork> m_works;
+  WorkTimeLimits m_time_limits;
   std::optional<Endpoint> m_endpoint;
   std::optional<TargetAnnounced> m_announced;
   RefusedReports m_refused_reports;
--- a/source/core/pipeline/call.h
+++ b/source/core/pipeline/call.h
@@ -55,6 +55,8 @@
   TimePoint arrived_at;
   // Time by which the first byte of the answer must arrive.
   TimePoint deadline;
+  // Time by which the answer must be complete; not before `deadline`.
+  TimePoint answer_deadline = TimePoint::max();
   // Estimated time between the caller's first attempt and this one; 0 if
   // unknown.
   Duration waited_before{};
--- a/source/core/pipeline/call_pipeline.cc
+++ b/source/core/pipeline/call_pipeline.cc
@@ -6,6 +6,14 @@
 
 namespace bulrushmount {
 
+namespace {
+
+TimePoint CurrentDeadline(const Call& call) {
+  return call.answer_begun_at ? call.answer_deadline : call.deadline;
+}
+
+}  // namespace
+
 void CallPipeline::AddFilter(std::unique_ptr<CallFilter> filter) {
   m_filters.push_back(std::move(filter));
 }
@@ -57,7 +65,7 @@
   // Removed first, so that no callback below can end the call again.
   const std::unique_ptr<Entry> entry = std::move(found->second);
   m_calls.erase(found);
-  m_deadlines.erase({entry->call.deadline, call});
+  m_deadlines.Remove(CurrentDeadline(entry->call), call);
 
   const std::size_t seen =
       std::min(entry->call.next_filter + 1, m_filters.size());
@@ -67,11 +75,13 @@
 }
 
 void CallPipeline::ArmDeadline(Call& call) {
-  m_deadlines.insert({call.deadline, call.id});
+  m_deadlines.Add(CurrentDeadline(call), call.id);
 }
 
-void CallPipeline::DisarmDeadline(Call& call) {
-  m_deadlines.erase({call.deadline, call.id});
+void CallPipeline::OnAnswerBegun(TimePoint now, Call& call) {
+  m_deadlines.Remove(CurrentDeadline(call), call.id);
+  call.answer_begun_at = now;
+  m_deadlines.Add(CurrentDeadline(call), call.id);
 }
 
 Call* CallPipeline::Find(CallId call) {
@@ -80,16 +90,14 @@
 }
 
 void CallPipeline::OnTimer(TimePoint now) {
-  while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
-    const CallId id = m_deadlines.begin()->second;
-    m_deadlines.erase(m_deadlines.begin());
-    if (Call* call = Find(id))
+  while (const std::optional<CallId> id = m_deadlines.TakeExpired(now)) {
+    if (Call* call = Find(*id))
       m_sink.OnDeadline(now, *call);
   }
 }
 
 TimePoint CallPipeline::NextWakeup() const {
-  return m_deadlines.empty() ? TimePoint::max() : m_deadlines.begin()->first;
+  return m_deadlines.Next();
 }
 
 void CallPipeline::RunFilters(TimePoint now, CallId id) {
--- a/source/core/pipeline/call_pipeline.h
+++ b/source/core/pipeline/call_pipeline.h
@@ -7,11 +7,10 @@
 #include <cstddef>
 #include <memory>
 #include <optional>
-#include <set>
 #include <unordered_map>
-#include <utility>
 #include <vector>
 
+#include "core/common/deadline_set.h"
 #include "core/pipeline/filter.h"
 
 namespace bulrushmount {
@@ -25,7 +24,7 @@
   // The call has passed every filter.
   virtual void OnCallAccepted(TimePoint now, Call& call) = 0;
 
-  // The call's deadline has passed and no answer has begun.
+  // The call's deadline has passed. If its answer has begun, it has not ended.
   virtual void OnDeadline(TimePoint now, Call& call) = 0;
 
   // A running call has lost its quarantine permit: its attempt must be
@@ -54,11 +53,11 @@
   // notified.
   void End(TimePoint now, CallId call, const CallEnd& end);
 
-  // Starts the deadline timer; `call.deadline` must be set.
+  // Starts the deadline timer; both deadlines of the call must be set.
   void ArmDeadline(Call& call);
-  // Stops the deadline timer when the answer has begun: from then on only lack
-  // of progress ends the call.
-  void DisarmDeadline(Call& call);
+  // The first byte of the answer has arrived. From now on the timer is set to
+  // the deadline of the complete answer.
+  void OnAnswerBegun(TimePoint now, Call& call);
 
   // Null once the call has ended.
   Call* Find(CallId call);
@@ -85,8 +84,8 @@
   CallSink& m_sink;
   std::vector<std::unique_ptr<CallFilter>> m_filters;
   std::unordered_map<CallId, std::unique_ptr<Entry>> m_calls;
-  // Deadlines of calls whose answer has not begun.
-  std::set<std::pair<TimePoint, CallId>> m_deadlines;
+  // The current deadline of each call that has one; see CurrentDeadline.
+  DeadlineSet<CallId> m_deadlines;
 };
 
 }  // namespace bulrushmount
--- a/source/core/pipeline/contract_filter.cc
+++ b/source/core/pipeline/contract_filter.cc
@@ -21,6 +21,7 @@
   // The caller may shorten the deadline of the contract but not extend it.
   const Duration granted = matched.kind->deadline;
   call.deadline = now + std::min(head.deadline.value_or(granted), granted);
+  call.answer_deadline = std::max(call.deadline, now + m_max_answer_time);
   m_pipeline.ArmDeadline(call);
   return PassCall{};
 }
--- a/source/core/pipeline/dispatcher.cc
+++ b/source/core/pipeline/dispatcher.cc
@@ -98,9 +98,8 @@
   RecordLoadReport(now, *call, event.load);
   m_shed_shares.OnAnswered(now, call->head.service);
   m_ask_budget.OnAnswered(now, call->head.service, HasRoom(event.load));
-  m_parts.pipeline.DisarmDeadline(*call);
+  m_parts.pipeline.OnAnswerBegun(now, *call);
   call->attempt->is_answer_begun = true;
-  call->answer_begun_at = now;
   call->answer_status = event.status;
   const std::size_t kept =
       call->claim ? m_settings.max_kept_answer_bytes : std::size_t{0};
--- a/source/core/pipeline/route_filter.cc
+++ b/source/core/pipeline/route_filter.cc
@@ -34,6 +34,9 @@
   // The caller may shorten the timeout of the route but not extend it.
   call.deadline =
       now + std::min(call.head.deadline.value_or(route.timeout), route.timeout);
+  // The timeout of a route is the longest that the caller may be kept waiting
+  // for a complete answer, also if the answer has begun and makes progress.
+  call.answer_deadline = call.deadline;
   m_pipeline.ArmDeadline(call);
   if (m_detects_retries && call.head.deadline)
     call.waited_before =
--- a/source/core/settings/daemon_settings.cc
+++ b/source/core/settings/daemon_settings.cc
@@ -118,6 +118,9 @@
   Assign(ReadDuration(map.Optional("min_progress_time"), {seconds(1), hours(1)},
                       faults),
          settings.node.min_progress_time);
+  Assign(ReadDuration(map.Optional("max_answer_time"), {seconds(1), hours(24)},
+                      faults),
+         settings.node.max_answer_time);
   map.Finish();
 }
 
--- a/source/process_tests/flat_memory_test.cc
+++ b/source/process_tests/flat_memory_test.cc
@@ -5,7 +5,6 @@
 #include <atomic>
 #include <cstdint>
 #include <cstdlib>
-#include <fstream>
 #include <memory>
 #include <string>
 #include <thread>
@@ -50,17 +49,6 @@
   return std::strtoull(megabytes, nullptr, 10) * kMegabyte;
 }
 
-std::int64_t ResidentKb(pid_t pid) {
-  std::ifstream status(fmt::format("/proc/{}/status", pid));
-  std::string word;
-  std::int64_t kilobytes = 0;
-  while (status >> word) {
-    if (word == "VmRSS:")
-      status >> kilobytes;
-  }
-  return kilobytes;
-}
-
 // Samples the resident memory of a process on a thread of its own.
 class MemoryMonitor {
  public:
--- a/source/process_tests/fleet_fixture.cc
+++ b/source/process_tests/fleet_fixture.cc
@@ -43,7 +43,7 @@
   target: {target}
   operator: {operators}
 platform: {{table: {platform}, objects: {platform}, timeout: 1s}}
-transport: {{min_progress_time: {progress}}}
+transport: {{min_progress_time: {progress}, max_answer_time: {answer}}}
 membership: {{heartbeat_period: 200ms, suspicion_time: {suspicion}}}
 routing: {{warmup: 0s, measuring_term: {term}}}
 )";
@@ -163,6 +163,7 @@
                      fmt::arg("operators", ToString(instance.operators)),
                      fmt::arg("platform", ToString(m_platform)),
                      fmt::arg("progress", m_options.min_progress_time),
+                     fmt::arg("answer", m_options.max_answer_time),
                      fmt::arg("log_level", m_options.log_level),
                      fmt::arg("suspicion", m_options.suspicion_time),
                      fmt::arg("term", m_options.measuring_term));
--- a/source/process_tests/fleet_fixture.h
+++ b/source/process_tests/fleet_fixture.h
@@ -38,6 +38,7 @@
   std::string suspicion_time = "2s";
   std::string measuring_term = "10s";
   std::string min_progress_time = "30s";
+  std::string max_answer_time = "1h";
   bool is_warmed_up = true;
   // The path of the warm-up calls; the contract must have a kind for it.
   std::string warm_up_path = "/warm-up";
--- a/source/process_tests/process_fixture.cc
+++ b/source/process_tests/process_fixture.cc
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <filesystem>
+#include <fstream>
 #include <stdexcept>
 #include <utility>
 
@@ -112,6 +113,17 @@
   return BlockingCall().Run(server, request, limit);
 }
 
+std::int64_t ResidentKb(pid_t pid) {
+  std::ifstream status(fmt::format("/proc/{}/status", pid));
+  std::string word;
+  std::int64_t kilobytes = 0;
+  while (status >> word) {
+    if (word == "VmRSS:")
+      status >> kilobytes;
+  }
+  return kilobytes;
+}
+
 ProcessTest::ProcessTest() {
   const std::filesystem::path parent = std::filesystem::temp_directory_path();
   std::string pattern = (parent / "bulrushmount_XXXXXX").string();
--- a/source/process_tests/process_fixture.h
+++ b/source/process_tests/process_fixture.h
@@ -4,6 +4,9 @@
 #ifndef BULRUSHMOUNT_PROCESS_TESTS_PROCESS_FIXTURE_H_
 #define BULRUSHMOUNT_PROCESS_TESTS_PROCESS_FIXTURE_H_
 
+#include <sys/types.h>
+
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <vector>
@@ -41,6 +44,9 @@
                     const std::vector<HttpHeader>& headers = {},
                     Duration limit = kTestHangTimeout);
 
+// The resident memory of a process in kilobytes; 0 if it does not run.
+std::int64_t ResidentKb(pid_t pid);
+
 // Gives each test a temporary folder and unused endpoints, and starts
 // processes.
 class ProcessTest : public testing::Test {
--- a/source/process_tests/timely_test.cc
+++ b/source/process_tests/timely_test.cc
@@ -157,6 +157,29 @@
                     StallCase{"LargeOwnerStops", "/size/300000000", true}),
     [](const auto& info) { return std::string(info.param.name); });
 
+// Guards against an answer that occupies its connections forever: it makes
+// progress, but its target never ends it.
+TEST_F(TimelyTest, AnswerWithoutEndIsAborted) {
+  FleetOptions options;
+  options.max_answer_time = "2s";
+  StartFleet(options);
+  RawCaller caller(at(0).caller);
+  const std::string path = "/trickle/1000000/20";
+  ASSERT_TRUE(caller.Send(fmt::format(
+      "GET {} HTTP/1.1\r\nHost: {}\r\nBulrushmount-Workspace: {}\r\n\r\n", path,
+      kTestService, kTestWorkspace)));
+  EXPECT_TRUE(caller.ReadToEnd());
+  EXPECT_EQ(caller.status(), 200U);
+  EXPECT_FALSE(caller.bytes().ends_with("0\r\n\r\n"));
+  // The connection to the target is closed.
+  EXPECT_TRUE(WaitUntil([&] {
+    const std::vector<LedgerLine> lines = Ledgers();
+    return std::any_of(lines.begin(), lines.end(), [&](const auto& line) {
+      return line.path == path && line.event == "finished";
+    });
+  }));
+}
+
 // An answer that makes progress, however slowly, is not aborted.
 TEST_F(TimelyTest, SlowAnswerIsCompleted) {
   FleetOptions options;
--- a/source/unit_tests/core/node_logic/routed_node_test.cc
+++ b/source/unit_tests/core/node_logic/routed_node_test.cc
@@ -305,6 +305,74 @@
   EXPECT_TRUE(Next<HandToTarget>());
 }
 
+// A node whose target has begun to answer a call, and does not end the answer.
+class AnswerTimeTest : public RoutedNodeTest {
+ protected:
+  void BeginAnswer() {
+    Start();
+    Call("/read/1");
+    const auto attempt = Arrive();
+    ASSERT_TRUE(attempt);
+    const auto hand_over = Next<HandToTarget>();
+    ASSERT_TRUE(hand_over);
+    m_work = hand_over->work;
+    Deliver(TargetAnswerBegun{m_work, 200, false, false, {}, {}, false});
+    const auto relay = Next<RelayWork>();
+    ASSERT_TRUE(relay);
+    Deliver(
+        AttemptAnswerBegun{attempt->call, attempt->attempt, 200, relay->load});
+    ASSERT_TRUE(Next<RelayAnswer>());
+  }
+
+  WorkId m_work;
+};
+
+// Guards against a caller that waits without limit for the end of an answer
+// because the timeout of the route limits only its first byte.
+TEST_F(AnswerTimeTest, AnswerInProgressIsCutAtTheTimeoutOfItsRoute) {
+  BeginAnswer();
+  Advance(1999ms);
+  EXPECT_FALSE(Next<CancelAttempt>());
+  Advance(1ms);
+  EXPECT_TRUE(Next<CancelAttempt>());
+  EXPECT_TRUE(Next<AbortAnswer>());
+}
+
+// Guards against a target that is occupied without limit by a request whose
+// cancellation does not reach the owner.
+TEST_F(AnswerTimeTest, OwnerEndsAnOverdueRequestByItself) {
+  BeginAnswer();
+  Advance(2s);
+  EXPECT_FALSE(Next<FailWork>());
+  Advance(100ms);
+  const auto ended = Next<FailWork>();
+  ASSERT_TRUE(ended);
+  EXPECT_EQ(ended->work, m_work);
+  EXPECT_EQ(ended->reason, Reason::kDeadlineExceeded);
+}
+
+TEST_F(AnswerTimeTest, CompleteAnswerHasNoTimeLimit) {
+  BeginAnswer();
+  Advance(1s);
+  Deliver(TargetAnswerEnded{m_work});
+  Deliver(AttemptAnswerEnded{CallId(m_last_call), AttemptNumber(1), {}, {}, 5});
+  Advance(10s);
+  EXPECT_FALSE(Next<CancelAttempt>());
+  EXPECT_FALSE(Next<FailWork>());
+}
+
+// The same for a target that does not begin to answer.
+TEST_F(RoutedNodeTest, OwnerEndsAnOverdueRequestWithoutAnAnswer) {
+  Start();
+  Call("/read/1");
+  ASSERT_TRUE(Arrive());
+  ASSERT_TRUE(Next<HandToTarget>());
+  Advance(2100ms);
+  const auto ended = Next<FailWork>();
+  ASSERT_TRUE(ended);
+  EXPECT_EQ(ended->reason, Reason::kDeadlineExceeded);
+}
+
 // Failure: a target gets requests after its leave was acknowledged. A request
 // waits at the owner for a speed probe, the target reports that it drains, and
 // then the probe is answered. The gate is not checked again for held requests.
--- a/source/unit_tests/core/settings/daemon_settings_test.cc
+++ b/source/unit_tests/core/settings/daemon_settings_test.cc
@@ -52,6 +52,7 @@
   EXPECT_EQ(node.warmup, other.warmup);
   EXPECT_EQ(node.quarantine_time, other.quarantine_time);
   EXPECT_EQ(node.min_progress_time, other.min_progress_time);
+  EXPECT_EQ(node.max_answer_time, other.max_answer_time);
 }
 
 TEST(DaemonSettingsTest, AdvertisesTheForwarderAddress) {
