Let only the newest attempt read the rest of a request body

Cause: an attempt that was refused kept its request pump. When its sink accepted the last buffered bytes, it read on from the caller's connection, beside the next attempt.

Ruled out: the target's connection and the HTTP/2 stream; the bytes are missing at the entry already, and the same happens in a test without a network.

Change: opening the body for an attempt revokes the body of the one before. An attempt that has read beyond the buffered part still prevents a further one.

--- a/source/core/transport/callers/caller_exchange.cc
+++ b/source/core/transport/callers/caller_exchange.cc
@@ -12,10 +12,17 @@
 // --- Exchange ---------------------------------------------------------------
 
 std::shared_ptr<BodySource> CallerConnection::Exchange::OpenBody() {
+  // An ended attempt may still have the prefix in transit. When its sink
+  // accepts that late, it would read on and take the next bytes of the body.
+  if (const auto earlier = m_replay.lock()) {
+    earlier->Revoke();
+  }
   if (m_is_rest_consumed) {
     return nullptr;
   }
-  return std::make_shared<BodyReplay>(shared_from_this());
+  auto replay = std::make_shared<BodyReplay>(shared_from_this());
+  m_replay = replay;
+  return replay;
 }
 
 void CallerConnection::Exchange::Answer(AnswerHead head, std::string body) {
@@ -71,7 +78,7 @@
     callback({BodyStatus::kEnd, {}});
     return;
   }
-  if (!m_exchange->m_is_current) {
+  if (!m_exchange->m_is_current || m_is_revoked) {
     callback({BodyStatus::kError, {}});
     return;
   }
--- a/source/core/transport/callers/caller_exchange.h
+++ b/source/core/transport/callers/caller_exchange.h
@@ -67,6 +67,8 @@
   bool m_is_complete = false;
   // m_prefix holds everything that must be read before submission.
   bool m_is_prefix_read = false;
+  // The body of the newest attempt, the only one that may read after m_prefix.
+  std::weak_ptr<BodyReplay> m_replay;
   // An attempt has read bytes after m_prefix.
   bool m_is_rest_consumed = false;
   bool m_expects_continue = false;
@@ -86,7 +88,9 @@
   BodySink::WriteCallback m_waiting_write;
 };
 
-// Reads a request body from its start, for one attempt.
+// Reads a request body from its start, for one attempt. The part after the
+// prefix is read from the connection and exists only once, so it belongs to the
+// newest attempt.
 class CallerConnection::BodyReplay
     : public BodySource,
       public std::enable_shared_from_this<BodyReplay> {
@@ -97,12 +101,15 @@
   void Read(ReadCallback callback) override;
   // Leaves the connection open, since the call may still get an answer.
   void Abort() override { m_callback = nullptr; }
+  // Another attempt has taken over: the next read fails.
+  void Revoke() { m_is_revoked = true; }
 
  private:
   void OnRest(BodyRead read);
 
   std::shared_ptr<Exchange> m_exchange;
   bool m_is_prefix_read = false;
+  bool m_is_revoked = false;
   ReadCallback m_callback;
 };
 
--- a/source/unit_tests/core/transport/caller_server_test.cc
+++ b/source/unit_tests/core/transport/caller_server_test.cc
@@ -1,5 +1,6 @@
 // Tests which requests the caller server rejects, and its answers to callers.
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -253,6 +254,82 @@
   EXPECT_TRUE(caller->received().ends_with("early"));
 }
 
+struct BodyCase {
+  const char* name;
+  const char* fields;
+  // What is sent of the body before and after the second attempt begins.
+  std::string begin;
+  std::string rest;
+  std::size_t size;
+};
+
+// Guards against a request whose body has a hole at its second attempt: the
+// first one, which was refused, gets a part of it from the connection.
+TEST_F(CallerServerTest, OnlyTheNewestAttemptReadsTheRestOfTheBody) {
+  const std::string part(2 * kMinBufferedBodyBytes, 'b');
+  const BodyCase cases[] = {
+      {"Length", "Content-Length: 65536\r\n", part, part, 65536},
+      {"Chunks", "Transfer-Encoding: chunked\r\n", "8000\r\n" + part + "\r\n",
+       "8000\r\n" + part + "\r\n0\r\n\r\n", 65536}};
+  for (const BodyCase& one : cases) {
+    SCOPED_TRACE(one.name);
+    const std::size_t call = acceptor.calls.size();
+    caller = RawPeer::Connect(context, server.endpoint());
+    caller->Send(WithFields(one.fields) + one.begin);
+    ASSERT_TRUE(RunUntilCalls(call + 1));
+    CallerExchange& exchange = *acceptor.calls[call];
+    std::string body;
+    bool is_ended = false;
+    const auto first = exchange.OpenBody();
+    first->Read([](const BodyRead& read) {
+      EXPECT_EQ(read.status, BodyStatus::kChunk);
+    });
+    const auto second = exchange.OpenBody();
+    ASSERT_TRUE(second);
+    BodySource::ReadCallback take = [&](const BodyRead& read) {
+      ASSERT_NE(read.status, BodyStatus::kError);
+      body += read.data;
+      is_ended = read.status == BodyStatus::kEnd;
+      if (!is_ended)
+        second->Read(take);
+    };
+    second->Read(take);
+    // The sink of the first attempt accepts its prefix only now.
+    std::optional<BodyStatus> late;
+    first->Read([&late](const BodyRead& read) { late = read.status; });
+    caller->Send(one.rest);
+    ASSERT_TRUE(RunUntil(context, [&is_ended] { return is_ended; }));
+    EXPECT_EQ(body.size(), one.size);
+    EXPECT_EQ(late, BodyStatus::kError);
+  }
+}
+
+// Guards against the end of the process: a read of an earlier attempt is still
+// waiting when the upload is complete, and gets the next request.
+TEST_F(CallerServerTest, EarlierAttemptTakesNothingOfTheNextRequest) {
+  const std::string part(2 * kMinBufferedBodyBytes, 'b');
+  caller->Send(WithFields("Content-Length: 65536\r\n") + part);
+  ASSERT_TRUE(RunUntilCalls(1));
+  CallerExchange& exchange = *acceptor.calls[0];
+  const std::shared_ptr<BodySource> attempts[] = {exchange.OpenBody(),
+                                                  exchange.OpenBody()};
+  bool is_ended = false;
+  std::function<void(BodySource&)> read_all = [&](BodySource& source) {
+    source.Read([&](const BodyRead& read) {
+      is_ended = is_ended || read.status == BodyStatus::kEnd;
+      if (read.status == BodyStatus::kChunk)
+        read_all(source);
+    });
+  };
+  for (const auto& attempt : attempts)
+    read_all(*attempt);
+  caller->Send(part);
+  ASSERT_TRUE(RunUntil(context, [&is_ended] { return is_ended; }));
+  exchange.Answer(AnswerHead{200, {}, {}}, "done");
+  caller->Send(Get("/next"));
+  EXPECT_TRUE(RunUntilCalls(2));
+}
+
 TEST_F(CallerServerTest, ContinueIsSentWhenExpected) {
   caller->Send(WithFields("Content-Length: 2\r\nExpect: 100-continue\r\n"));
   ASSERT_TRUE(RunUntil(context, [this] {
--- a/source/unit_tests/core/transport/transport_test_support.cc
+++ b/source/unit_tests/core/transport/transport_test_support.cc
@@ -131,6 +131,28 @@
   };
 }
 
+DispatchAttempt RelayNodeLogic::Dispatch(CallId call, const CallHead& head) {
+  WorkHead work;
+  work.request_id = head.request_id;
+  work.entry = NodeId(1);
+  work.workspace = head.workspace;
+  work.service = head.service;
+  work.method = head.method;
+  work.target = head.target;
+  work.fingerprint = head.fingerprint;
+  work.time_left = std::chrono::seconds(5);
+  return {call, AttemptNumber(++m_last_attempt), owner, owner_endpoint, work};
+}
+
+std::vector<NodeAction> RelayNodeLogic::OnRefused(
+    const AttemptRefused& refused) {
+  if (retries_refused) {
+    return {Dispatch(refused.call, m_heads.at(refused.call))};
+  }
+  m_calls.erase(refused.call);
+  return {AnswerCaller{refused.call, Outcome::kNotRun, refused.reason}};
+}
+
 std::vector<NodeAction> RelayNodeLogic::OnLost(const AttemptLost& lost) {
   const auto call = m_calls.find(lost.call);
   if (call == m_calls.end()) {
@@ -158,25 +180,15 @@
   events.push_back(event);
   if (const auto* call = std::get_if<CallArrived>(&event)) {
     m_calls[call->call] = false;
-    WorkHead head;
-    head.request_id = call->head.request_id;
-    head.entry = NodeId(1);
-    head.workspace = call->head.workspace;
-    head.service = call->head.service;
-    head.method = call->head.method;
-    head.target = call->head.target;
-    head.fingerprint = call->head.fingerprint;
-    head.time_left = std::chrono::seconds(5);
-    return {DispatchAttempt{call->call, AttemptNumber(1), owner, owner_endpoint,
-                            head}};
+    m_heads[call->call] = call->head;
+    return {Dispatch(call->call, call->head)};
   }
   if (const auto* gone = std::get_if<CallerDisconnected>(&event)) {
     m_calls.erase(gone->call);
-    return {CancelAttempt{gone->call, AttemptNumber(1)}};
+    return {CancelAttempt{gone->call, AttemptNumber(m_last_attempt)}};
   }
   if (const auto* refused = std::get_if<AttemptRefused>(&event)) {
-    m_calls.erase(refused->call);
-    return {AnswerCaller{refused->call, Outcome::kNotRun, refused->reason}};
+    return OnRefused(*refused);
   }
   if (const auto* begun = std::get_if<AttemptAnswerBegun>(&event)) {
     m_calls[begun->call] = true;
@@ -208,7 +220,7 @@
     return {RefuseWork{failed->work, Reason::kConnectFailed, {}}};
   }
   if (const auto* begun = std::get_if<TargetAnswerBegun>(&event)) {
-    if (begun->is_shed) {
+    if (begun->is_shed || begun->is_wrong_target) {
       m_works.erase(begun->work);
       return {RefuseWork{begun->work, Reason::kShed, {}}};
     }
@@ -252,9 +264,13 @@
 }
 
 TestNode::TestNode(asio::io_context& context, std::uint64_t id)
-    : random(id),
+    : TestNode(context, LoopbackSettings(id)) {}
+
+TestNode::TestNode(asio::io_context& context,
+                   const DriverSettings& node_settings)
+    : random(node_settings.id.value()),
       table(context),
-      settings(LoopbackSettings(id)),
+      settings(node_settings),
       driver(context, settings, logic, table, random) {
   driver.Start();
 }
--- a/source/unit_tests/core/transport/transport_test_support.h
+++ b/source/unit_tests/core/transport/transport_test_support.h
@@ -131,15 +131,21 @@
   Reason refuse_with = Reason::kNone;
   // Whether calls are repeatable, so that they may run ahead of their turn.
   bool is_repeatable = true;
+  // Whether a refused call is sent to the owner again.
+  bool retries_refused = false;
   // Whether works are left unanswered.
   bool holds_works = false;
   std::vector<NodeEvent> events;
 
  private:
+  DispatchAttempt Dispatch(CallId call, const CallHead& head);
+  std::vector<NodeAction> OnRefused(const AttemptRefused& refused);
   std::vector<NodeAction> OnLost(const AttemptLost& lost);
   std::vector<NodeAction> ExitIfDone();
 
   std::map<CallId, bool> m_calls;
+  std::map<CallId, CallHead> m_heads;
+  std::uint32_t m_last_attempt = 0;
   std::map<WorkId, bool> m_works;
   bool m_is_shutting_down = false;
 };
@@ -157,6 +163,7 @@
 
 struct TestNode {
   TestNode(boost::asio::io_context& context, std::uint64_t id);
+  TestNode(boost::asio::io_context& context, const DriverSettings& settings);
 
   // Directs this node's calls to `owner`.
   void SendTo(const TestNode& owner);
