Fail a second read of an HTTP/1.1 message in progress

Cause: two reads of one request wait for one socket. One reads the end of the body; the other stays in a parser that is done and gets the caller's next request.

Ruled out: the discarding of input after an early answer, which reads the same buffer; its parser is never done then.

--- a/source/core/transport/http1_reader.h
+++ b/source/core/transport/http1_reader.h
@@ -42,7 +42,14 @@
   // Whether the message has been read to its end.
   bool is_done() { return m_parser.is_done(); }
 
+  // Fails if another read is in progress: the bytes of both would go to one
+  // callback, and the read that stays behind would pass the bytes of the next
+  // message to a parser that is done.
   void Read(ReadCallback callback) override {
+    if (m_is_reading) {
+      callback({BodyStatus::kError, {}});
+      return;
+    }
     if (m_parser.is_done()) {
       callback({BodyStatus::kEnd, {}});
       return;
@@ -65,6 +72,7 @@
   }
 
   void ReadSome() {
+    m_is_reading = true;
     m_chunk.resize(NextReadSize());
     m_parser.get().body().data = m_chunk.data();
     m_parser.get().body().size = m_chunk.size();
@@ -77,6 +85,7 @@
   }
 
   void OnRead(boost::system::error_code error) {
+    m_is_reading = false;
     if (error == boost::beast::http::error::need_buffer) {
       error = {};
     }
@@ -111,6 +120,8 @@
   std::string m_chunk;
   // Set while a read is in progress and not aborted.
   ReadCallback m_callback;
+  // Also after an abort, until the socket has completed the read.
+  bool m_is_reading = false;
 };
 
 }  // namespace bulrushmount
