Do not open for an unhealthy target on its second heartbeat

Its node had acknowledged the leave, was killed and started again, and two heartbeats from before the leave arrived late.

Cause: a restarted node knows of no leave. Its probe of the target found it unhealthy, and the second late heartbeat opened the gate all the same.

Ruled out: keeping leaves in the store, a call for each that has to be read before a restarted node may serve; and the entries' memory of leaving targets, which the restarted node's own entry does not have.

Change: after an unhealthy answer, heartbeats confirm the target only once they have continued for 5 s, longer than they are delayed; each newer one is followed by a probe, so that a target that turns healthy opens at once.

The test SecondNewerHeartbeatOpensWithoutTheProbe asked for the behaviour at fault: open at the second heartbeat, at the same instant, after an unhealthy answer. HeartbeatsThatContinueOpenWithoutTheProbe replaces it: such a target is still served without a healthy probe, and not before the 5 s. SecondNewerHeartbeatOpensIfTheProbeFails keeps the second heartbeat where nothing speaks against it.

--- a/source/core/target_state/target_gate.cc
+++ b/source/core/target_state/target_gate.cc
@@ -3,6 +3,7 @@
 #include "core/target_state/target_gate.h"
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include "core/common/logging.h"
@@ -16,6 +17,9 @@
 // arrives within minutes.
 constexpr std::size_t kMaxRecords = 64;
 
+// A heartbeat may arrive seconds after it was sent.
+constexpr Duration kMaxHeartbeatDelay = std::chrono::seconds(5);
+
 }  // namespace
 
 GateAction TargetGate::OnHeartbeat(TimePoint now,
@@ -42,10 +46,15 @@
     return GateAction::kNone;
   }
   record.newest_sequence = heartbeat.sequence;
+  const bool is_candidate = IsSameProcess(m_candidate, heartbeat);
   const bool is_confirmed = IsSameProcess(m_current, heartbeat) ||
-                            IsSameProcess(m_candidate, heartbeat);
+                            (is_candidate && MayConfirmCandidate(now));
   if (is_confirmed)
     return Open(heartbeat);
+  if (!is_candidate) {
+    m_candidate_since = now;
+    m_is_candidate_unhealthy = false;
+  }
   m_candidate = heartbeat;
   return GateAction::kProbe;
 }
@@ -85,6 +94,11 @@
   return true;
 }
 
+bool TargetGate::MayConfirmCandidate(TimePoint now) const {
+  return !m_is_candidate_unhealthy ||
+         now - m_candidate_since >= kMaxHeartbeatDelay;
+}
+
 bool TargetGate::IsSameProcess(const std::optional<TargetHeartbeat>& known,
                                const TargetHeartbeat& heartbeat) {
   if (!known || known->instance != heartbeat.instance)
@@ -105,8 +119,9 @@
     m_candidate.reset();
     return GateAction::kNone;
   }
-  // An unhealthy target may be draining, or its health endpoint may be wrong;
-  // its next heartbeat decides.
+  // An unhealthy target may be draining or have left, or its health endpoint
+  // may be wrong; its further heartbeats decide.
+  m_is_candidate_unhealthy = !is_healthy;
   if (!is_healthy)
     return GateAction::kNone;
   const TargetHeartbeat confirmed = *m_candidate;
--- a/source/core/target_state/target_gate.h
+++ b/source/core/target_state/target_gate.h
@@ -7,8 +7,10 @@
 // drains. Opening on that heartbeat would start requests on the target after
 // its drain was acknowledged. So the first heartbeat of a target counts only
 // once the target itself confirms it: by its health endpoint under the same id,
-// or by a second, newer heartbeat. A process that has drained or left never
-// opens the gate again.
+// or by a second, newer heartbeat. If its health endpoint reports that it is
+// unhealthy, it may have left: then it is probed again at each newer heartbeat,
+// and only heartbeats that continue for longer than one can be delayed confirm
+// it. A process that has drained or left never opens the gate again.
 //
 // A target may restart under the same id, and its sequence numbers start again.
 // Unless its processes are distinguished, the heartbeats of the new one look
@@ -77,6 +79,8 @@
   // it is a later one, the record is updated to it. False for an earlier one.
   static bool UpdateProcess(const std::optional<ProcessStart>& started,
                             Record& record);
+  // Whether heartbeats alone confirm the candidate.
+  bool MayConfirmCandidate(TimePoint now) const;
   // Whether `heartbeat` is from the target and process of `known`.
   static bool IsSameProcess(const std::optional<TargetHeartbeat>& known,
                             const TargetHeartbeat& heartbeat);
@@ -90,6 +94,10 @@
   std::deque<Record> m_records;
   std::optional<TargetHeartbeat> m_current;
   std::optional<TargetHeartbeat> m_candidate;
+  // Set with m_candidate: when its first heartbeat arrived, and whether its
+  // health endpoint has answered since that it is unhealthy.
+  TimePoint m_candidate_since;
+  bool m_is_candidate_unhealthy = false;
 };
 
 }  // namespace bulrushmount
--- a/source/unit_tests/core/target_state/target_gate_test.cc
+++ b/source/unit_tests/core/target_state/target_gate_test.cc
@@ -73,13 +73,49 @@
 // Guards against a healthy target that gets no requests after the node restarts
 // because its health endpoint wrongly reports unhealthy, and only a probe could
 // open the gate.
-TEST_F(TargetGateTest, SecondNewerHeartbeatOpensWithoutTheProbe) {
+TEST_F(TargetGateTest, HeartbeatsThatContinueOpenWithoutTheProbe) {
+  std::uint64_t sequence = 3;
+  m_gate.OnHeartbeat(m_now, Ready("a", sequence));
+  const TimePoint end = m_now + std::chrono::seconds(5);
+  for (; m_now < end; m_now += std::chrono::seconds(1)) {
+    EXPECT_EQ(m_gate.OnProbe(InstanceId("a"), false), GateAction::kNone);
+    EXPECT_EQ(m_gate.OnHeartbeat(m_now, Ready("a", ++sequence)),
+              GateAction::kProbe);
+    EXPECT_FALSE(m_gate.current());
+  }
+  EXPECT_EQ(m_gate.OnHeartbeat(m_now, Ready("a", ++sequence)),
+            GateAction::kOpen);
+  EXPECT_TRUE(IsOpenFor("a"));
+}
+
+TEST_F(TargetGateTest, SecondNewerHeartbeatOpensIfTheProbeFails) {
   m_gate.OnHeartbeat(m_now, Ready("a", 3));
-  m_gate.OnProbe(InstanceId("a"), false);
+  m_gate.OnProbeFailed();
   EXPECT_EQ(m_gate.OnHeartbeat(m_now, Ready("a", 4)), GateAction::kOpen);
   EXPECT_TRUE(IsOpenFor("a"));
 }
 
+// Guards against requests to a target that has left: the node acknowledges its
+// leave and is killed, and several of its heartbeats arrive seconds late at the
+// node's next process.
+TEST_F(TargetGateTest, LateHeartbeatsOfAnUnhealthyTargetOpenNothing) {
+  for (const std::uint64_t sequence : {7, 8, 9}) {
+    EXPECT_EQ(m_gate.OnHeartbeat(m_now, Ready("a", sequence)),
+              GateAction::kProbe);
+    EXPECT_EQ(m_gate.OnProbe(InstanceId("a"), false), GateAction::kNone);
+    EXPECT_FALSE(m_gate.current());
+    m_now += std::chrono::milliseconds(1500);
+  }
+}
+
+TEST_F(TargetGateTest, TargetThatTurnsHealthyOpensAtItsNextHeartbeat) {
+  m_gate.OnHeartbeat(m_now, Ready("a", 3));
+  m_gate.OnProbe(InstanceId("a"), false);
+  EXPECT_EQ(m_gate.OnHeartbeat(m_now, Ready("a", 4)), GateAction::kProbe);
+  EXPECT_EQ(m_gate.OnProbe(InstanceId("a"), true), GateAction::kOpen);
+  EXPECT_TRUE(IsOpenFor("a"));
+}
+
 TEST_F(TargetGateTest, DuplicateHeartbeatIsNoConfirmation) {
   m_gate.OnHeartbeat(m_now, Ready("a", 3));
   EXPECT_EQ(m_gate.OnHeartbeat(m_now, Ready("a", 3)), GateAction::kNone);
