End a call whose request body is consumed with its refusal

What callers saw: an upload that a target refused after reading more than the entry keeps got 503 node-unreachable, and later calls avoided healthy owners.

Cause: the entry reports an attempt that it could not send, because a part of the body is gone, as one whose node is unreachable. The dispatcher records a failure of that owner and tries the next, up to the limit of attempts, with the same result each time.

Change: the event says that the body is consumed. The call ends at once with the refusal of its last owner, and no owner gets a sample.

Test: RequestThatCannotBeSentAgainEndsWithItsRefusal fails with the new branch disabled. 149 tests of the dispatcher, uploads, relays and nodes pass.

--- a/source/core/node_logic/events.h
+++ b/source/core/node_logic/events.h
@@ -73,6 +73,9 @@
   // never processed, so the request was certainly not run.
   bool is_certainly_not_run = false;
   Reason reason = Reason::kNodeLost;
+  // The attempt was not sent to its owner, because an earlier one has consumed
+  // a part of the request body. The request cannot be sent to any other either.
+  bool is_body_consumed = false;
 };
 
 // The owner's node no longer sends anything, not even replies to keep-alive
--- a/source/core/pipeline/dispatcher.cc
+++ b/source/core/pipeline/dispatcher.cc
@@ -145,6 +145,10 @@
   Call* call = FindAttempt(event.call, event.attempt);
   if (!call)
     return;
+  if (event.is_body_consumed) {
+    EndUnsent(now, *call);
+    return;
+  }
   m_parts.router.OnLost(now, call->attempt->dispatch);
   const bool may_retry =
       event.is_certainly_not_run || MayRetryUnknownOutcome(*call, event.reason);
@@ -160,6 +164,13 @@
     GiveUp(now, *call, event.reason);
 }
 
+// The owner of the attempt has not failed, so this is no sample of it.
+void Dispatcher::EndUnsent(TimePoint now, Call& call) {
+  m_parts.router.OnCancelled(now, call.attempt->dispatch);
+  EndAttempt(now, call, false, false);
+  GiveUp(now, call, call.last_refusal);
+}
+
 void Dispatcher::OnSilent(TimePoint now, const AttemptSilent& event) {
   Call* call = FindAttempt(event.call, event.attempt);
   if (!call || call->attempt->is_answer_begun)
--- a/source/core/pipeline/dispatcher.h
+++ b/source/core/pipeline/dispatcher.h
@@ -165,6 +165,9 @@
                   bool may_retry,
                   bool reached_target);
   bool TakeRetry(TimePoint now, const Call& call);
+  // Ends a call whose request can no longer be sent, with the refusal of its
+  // last owner.
+  void EndUnsent(TimePoint now, Call& call);
   bool MayLeaveSilentOwner(const Call& call) const;
   void GiveUp(TimePoint now, Call& call, Reason reason);
   // Cancels an attempt in progress and records that it may have run.
--- a/source/core/transport/callers/entry_calls.cc
+++ b/source/core/transport/callers/entry_calls.cc
@@ -180,7 +180,7 @@
     // A part of the body is no longer available, so the request cannot be sent
     // again.
     m_events.Emit(AttemptLost{action.call, action.attempt, true,
-                              Reason::kNodeUnreachable});
+                              Reason::kNodeUnreachable, true});
     return;
   }
   WorkRequest request{action.head, exchange.headers(), exchange.shape()};
--- a/source/unit_tests/core/pipeline/dispatcher_test.cc
+++ b/source/unit_tests/core/pipeline/dispatcher_test.cc
@@ -210,6 +210,29 @@
   EXPECT_EQ(m_repeats, 1);
 }
 
+// Guards against healthy owners that count as failing because a target refused
+// an upload of which it had read a part: the call tried one after the other,
+// although its request could not be sent to any of them.
+TEST_F(DispatcherTest, RequestThatCannotBeSentAgainEndsWithItsRefusal) {
+  const CallId call = Start(true);
+  m_dispatcher.OnRefused(m_now, {call, LastAttempt().attempt, Reason::kShed,
+                                 LoadReport{.limit = 12}});
+  ASSERT_EQ(m_actions.Count<DispatchAttempt>(), 2U);
+  const NodeId healthy = LastAttempt().owner;
+  m_dispatcher.OnLost(m_now, {call, LastAttempt().attempt, true,
+                              Reason::kNodeUnreachable, true});
+  EXPECT_EQ(m_actions.Count<DispatchAttempt>(), 2U);
+  ASSERT_TRUE(m_end);
+  EXPECT_EQ(m_end->outcome, Outcome::kNotRun);
+  EXPECT_EQ(m_end->reason, Reason::kShed);
+  bool is_picked = false;
+  for (int later = 0; later < 20; ++later) {
+    Start(false);
+    is_picked = is_picked || LastAttempt().owner == healthy;
+  }
+  EXPECT_TRUE(is_picked);
+}
+
 // The owner may have handed the call to its target and may still answer.
 TEST_F(DispatcherTest, KeepsANonRepeatableCallAtASilentOwner) {
   const CallId call = Start(false);
