--- a/source/core/pipeline/call.h
+++ b/source/core/pipeline/call.h
@@ -99,6 +99,12 @@
   std::optional<TimePoint> answer_begun_at;
   // The status of the answer that is being relayed.
   int answer_status = 0;
+
+  // Remaining time of the latency objective, which counts from the first
+  // attempt of the caller.
+  Duration ObjectiveLeft(TimePoint now) const {
+    return terms.kind.objective.within - waited_before - (now - arrived_at);
+  }
 };
 
 // How a call ended.
