Let heartbeats confirm a target only after its probe

Cause: the second heartbeat confirmed the target although the probe that the first one had caused was not answered yet.

Change: a newer heartbeat counts 500 ms after the first at the earliest. A probe ends after 300 ms, and heartbeats are sent about once a second, so that a target with a working health path opens as before.

Test: HeartbeatsBeforeTheAnswerOfTheProbeOpenNothing failed before.

--- a/source/core/target_state/target_gate.cc
+++ b/source/core/target_state/target_gate.cc
@@ -20,6 +20,9 @@
 // A heartbeat may arrive seconds after it was sent.
 constexpr Duration kMaxHeartbeatDelay = std::chrono::seconds(5);
 
+// Longer than a probe takes, so that its result counts first.
+constexpr Duration kMinConfirmationTime = std::chrono::milliseconds(500);
+
 }  // namespace
 
 GateAction TargetGate::OnHeartbeat(TimePoint now,
@@ -95,8 +98,8 @@
 }
 
 bool TargetGate::MayConfirmCandidate(TimePoint now) const {
-  return !m_is_candidate_unhealthy ||
-         now - m_candidate_since >= kMaxHeartbeatDelay;
+  return now - m_candidate_since >=
+         (m_is_candidate_unhealthy ? kMaxHeartbeatDelay : kMinConfirmationTime);
 }
 
 bool TargetGate::IsSameProcess(const std::optional<TargetHeartbeat>& known,
--- a/source/core/target_state/target_gate.h
+++ b/source/core/target_state/target_gate.h
@@ -7,10 +7,12 @@
 // drains. Opening on that heartbeat would start requests on the target after
 // its drain was acknowledged. So the first heartbeat of a target counts only
 // once the target itself confirms it: by its health endpoint under the same id,
-// or by a second, newer heartbeat. If its health endpoint reports that it is
-// unhealthy, it may have left: then it is probed again at each newer heartbeat,
-// and only heartbeats that continue for longer than one can be delayed confirm
-// it. A process that has drained or left never opens the gate again.
+// or by a newer heartbeat that arrives once the probe has ended; heartbeats
+// that were delayed together confirm nothing. If its health endpoint reports
+// that it is unhealthy, it may have left: then it is probed again at each newer
+// heartbeat, and only heartbeats that continue for longer than one can be
+// delayed confirm it. A process that has drained or left never opens the gate
+// again.
 //
 // A target may restart under the same id, and its sequence numbers start again.
 // Unless its processes are distinguished, the heartbeats of the new one look
