Read what arrived in a pause before deadlines are checked

What callers saw: an answer that had arrived while the entry was paused past the deadline was replaced by 504, or cut if it had begun.

Cause: the event loop handles the expired timer in its first iteration after a pause; relaying an answer takes several. Since a deadline binds until the answer is complete, it also cuts answers that have begun.

Change: a timer that fires 100 ms late or more is handled after 16 further iterations of the loop.

Test: AnswerThatArrivesInAPauseIsReadBeforeTheTimer failed before. The tests of the driver pass.

--- a/source/core/transport/node_driver.cc
+++ b/source/core/transport/node_driver.cc
@@ -19,6 +19,12 @@
 constexpr auto kMaxStallCheckInterval = std::chrono::seconds(1);
 constexpr int kStallChecksPerTimeout = 4;
 
+// A timer that fires this late means that the process was paused.
+constexpr auto kMinPause = std::chrono::milliseconds(100);
+// Reading an answer that waits in a socket and passing it on takes fewer
+// iterations of the event loop.
+constexpr int kRoundsAfterPause = 16;
+
 }  // namespace
 
 NodeDriver::NodeDriver(boost::asio::io_context& context,
@@ -175,7 +181,7 @@
 
 void NodeDriver::ArmTimer() {
   const TimePoint wakeup = m_logic.NextWakeup();
-  if (wakeup == m_armed_wakeup || m_has_ended) {
+  if (wakeup == m_armed_wakeup || m_is_wakeup_deferred || m_has_ended) {
     return;
   }
   m_armed_wakeup = wakeup;
@@ -184,13 +190,34 @@
     return;
   }
   m_wakeup_timer.expires_at(wakeup);
-  m_wakeup_timer.async_wait([this](const boost::system::error_code& error) {
-    if (error) {
-      return;
-    }
-    m_armed_wakeup = TimePoint::max();
-    Emit(TimerFired{});
-  });
+  m_wakeup_timer.async_wait(
+      [this, wakeup](const boost::system::error_code& error) {
+        if (!error)
+          OnWakeup(wakeup);
+      });
+}
+
+// After a pause of the process, the deadlines of requests have passed whose
+// answers have arrived meanwhile. These are read first, so that they are
+// delivered.
+void NodeDriver::OnWakeup(TimePoint planned) {
+  m_is_wakeup_deferred = Now() - planned >= kMinPause;
+  FireTimer(m_is_wakeup_deferred ? kRoundsAfterPause : 0);
+}
+
+void NodeDriver::FireTimer(int rounds) {
+  if (rounds > 0) {
+    m_wakeup_timer.expires_after(Duration::zero());
+    m_wakeup_timer.async_wait(
+        [this, rounds](const boost::system::error_code& error) {
+          if (!error)
+            FireTimer(rounds - 1);
+        });
+    return;
+  }
+  m_is_wakeup_deferred = false;
+  m_armed_wakeup = TimePoint::max();
+  Emit(TimerFired{});
 }
 
 void NodeDriver::WatchStalls() {
--- a/source/core/transport/node_driver.h
+++ b/source/core/transport/node_driver.h
@@ -42,7 +42,8 @@
   Endpoint operators;
   // Empty: operator requests need no token.
   std::string operator_token;
-  // An answer that transfers no byte for this long is aborted.
+  // An answer that transfers no byte for this long is aborted. Duration::max():
+  // no limit.
   Duration min_progress_time = std::chrono::seconds(30);
   std::string health_path = "/health";
   CallerLimits callers;
@@ -117,6 +118,9 @@
   void AddPages();
   ControlReply StatusPage();
   void ArmTimer();
+  void OnWakeup(TimePoint planned);
+  // Emits TimerFired after `rounds` more iterations of the event loop.
+  void FireTimer(int rounds);
   void WatchStalls();
   // Exits once all answers are written to the sockets.
   void ExitWhenFlushed();
@@ -147,6 +151,8 @@
 
   boost::asio::steady_timer m_wakeup_timer;
   TimePoint m_armed_wakeup = TimePoint::max();
+  // The timer has expired after a pause and is handled after the input.
+  bool m_is_wakeup_deferred = false;
   boost::asio::steady_timer m_stall_timer;
   boost::asio::steady_timer m_exit_timer;
   boost::asio::steady_timer m_leave_timer;
--- a/source/unit_tests/core/transport/node_driver_test.cc
+++ b/source/unit_tests/core/transport/node_driver_test.cc
@@ -154,6 +154,32 @@
       RunUntil(context, [this] { return target->peer(0).is_at_end(); }));
 }
 
+// Guards against a call that ends with its deadline although its answer has
+// arrived: the process is paused past the deadline, and the timer is handled
+// before the sockets are read.
+TEST_F(NodeDriverTest, AnswerThatArrivesInAPauseIsReadBeforeTheTimer) {
+  StartTarget([](RawPeer&) {});
+  owner.SendTo(owner);
+  caller = RawPeer::Connect(context, owner.driver.caller_endpoint());
+  caller->Send(Get("/a"));
+  ASSERT_TRUE(RunUntil(context, [this] {
+    return target->connections() > 0 && !target->peer(0).received().empty();
+  }));
+  target->peer(0).Send(kHello);
+  RelayNodeLogic& logic = owner.logic;
+  logic.events.clear();
+  const TimePoint deadline = Now() + std::chrono::milliseconds(1);
+  logic.wakeup = deadline;
+  owner.driver.Emit(DatagramArrived{});
+  const TimePoint resumed_at = deadline + std::chrono::milliseconds(200);
+  while (Now() < resumed_at) {
+  }
+  ASSERT_TRUE(
+      RunUntil(context, [&logic] { return logic.Count<TimerFired>() == 1; }));
+  EXPECT_EQ(logic.Count<AttemptAnswerEnded>(), 1U);
+  EXPECT_TRUE(RunUntilReceived("hello"));
+}
+
 TEST_F(NodeDriverTest, DatagramsAreCarriedWhole) {
   entry.driver.Emit(TimerFired{});
   DatagramSocket socket(context, entry.driver);
--- a/source/unit_tests/core/transport/transport_test_support.cc
+++ b/source/unit_tests/core/transport/transport_test_support.cc
@@ -178,6 +178,9 @@
 
 std::vector<NodeAction> RelayNodeLogic::Handle(TimePoint, NodeEvent event) {
   events.push_back(event);
+  if (std::holds_alternative<TimerFired>(event)) {
+    wakeup = TimePoint::max();
+  }
   if (const auto* call = std::get_if<CallArrived>(&event)) {
     m_calls[call->call] = false;
     m_heads[call->call] = call->head;
--- a/source/unit_tests/core/transport/transport_test_support.h
+++ b/source/unit_tests/core/transport/transport_test_support.h
@@ -101,7 +101,7 @@
 class RelayNodeLogic : public NodeLogicInterface {
  public:
   std::vector<NodeAction> Handle(TimePoint now, NodeEvent event) override;
-  TimePoint NextWakeup() const override { return TimePoint::max(); }
+  TimePoint NextWakeup() const override { return wakeup; }
   bool IsRepeatable(const CallHead&) const override { return is_repeatable; }
   bool IsReady() const override { return true; }
 
@@ -133,6 +133,8 @@
   bool is_repeatable = true;
   // Whether a refused call is sent to the owner again.
   bool retries_refused = false;
+  // When the next TimerFired is due.
+  TimePoint wakeup = TimePoint::max();
   // Whether works are left unanswered.
   bool holds_works = false;
   std::vector<NodeEvent> events;
