--- a/source/unit_tests/core/transport/upload_test.cc
+++ b/source/unit_tests/core/transport/upload_test.cc
@@ -119,6 +119,7 @@
 
   // The node that the caller is connected to.
   TestNode& first() { return path() == Path::kLocal ? owner : entry; }
+  TestNode& other() { return path() == Path::kLocal ? entry : owner; }
 
   static DriverSettings Settings(std::uint64_t id) {
     static const RefusingDialect dialect;
@@ -146,9 +147,34 @@
     });
   }
 
+  // Sends an upload and waits for its answer.
+  void Upload() {
+    NewUpload();
+    caller->Send(request);
+    ASSERT_TRUE(RunUntilAnswered()) << "upload " << upload;
+    const std::string& answer = caller->received();
+    const bool is_done = answer.starts_with("HTTP/1.1 200 ");
+    answered += is_done ? 1 : 0;
+    EXPECT_TRUE(is_done || answer.find("Outcome: not-run") != std::string::npos)
+        << answer;
+    caller->Close();
+  }
+
+  void ExpectWholeRuns() const {
+    EXPECT_EQ(changed, 0) << "of " << runs << " runs";
+    EXPECT_EQ(runs, answered);
+    EXPECT_GT(refused, 0);
+    EXPECT_GT(runs, 0);
+  }
+
   // Refuses as long as `refusals_left` says, each time once a part of the
   // request has arrived, and runs what arrives whole.
   void OnBytes(RawPeer& peer) {
+    if (peer.received().starts_with("GET ")) {
+      peer.received().clear();
+      parent = &peer;
+      return;
+    }
     const auto [place, is_new] = requests.try_emplace(&peer);
     Request& arriving = place->second;
     if (is_new) {
@@ -203,6 +229,8 @@
   int refusals_left = 0;
   int refused = 0;
   int runs = 0;
+  // Uploads that were answered with 200.
+  int answered = 0;
   // Whether targets answer as soon as they have a part of the body.
   bool answers_early = false;
   int early = 0;
@@ -215,27 +243,37 @@
   TestNode owner{context, Settings(2)};
   TestNode entry{context, Settings(1)};
   std::shared_ptr<RawPeer> caller;
+  // The connection on which a target runs a GET request.
+  RawPeer* parent = nullptr;
 };
 
 // Guards against a target that runs an upload of which a part is missing: the
 // attempt that another target has refused still reads from the caller.
 TEST_P(UploadTest, RefusedUploadReachesTheNextTargetWholeOrNotAtAll) {
-  int answered = 0;
+  for (int i = 0; i < kUploads; ++i)
+    ASSERT_NO_FATAL_FAILURE(Upload());
+  ExpectWholeRuns();
+}
+
+// Guards against the same for an upload that a target makes while it runs a
+// request, and against a parent that is lost with it.
+TEST_P(UploadTest, RefusedUploadOfATargetIsWholeAndKeepsItsParent) {
+  first().Announce(target.endpoint());
+  other().SendTo(first());
   for (int i = 0; i < kUploads; ++i) {
-    NewUpload();
-    caller->Send(request);
-    ASSERT_TRUE(RunUntilAnswered()) << "upload " << upload;
-    const std::string& answer = caller->received();
-    const bool is_done = answer.starts_with("HTTP/1.1 200 ");
-    answered += is_done ? 1 : 0;
-    EXPECT_TRUE(is_done || answer.find("Outcome: not-run") != std::string::npos)
-        << answer;
-    caller->Close();
+    const auto parent_caller =
+        RawPeer::Connect(context, other().driver.caller_endpoint());
+    parent = nullptr;
+    parent_caller->Send(Get("/parent"));
+    ASSERT_TRUE(RunUntil(context, [this] { return parent != nullptr; }));
+    ASSERT_NO_FATAL_FAILURE(Upload());
+    parent->Send("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nparent");
+    ASSERT_TRUE(RunUntil(context, [&parent_caller] {
+      return parent_caller->received().ends_with("parent");
+    }));
+    parent_caller->Close();
   }
-  EXPECT_EQ(changed, 0) << "of " << runs << " runs";
-  EXPECT_EQ(runs, answered);
-  EXPECT_GT(refused, 0);
-  EXPECT_GT(runs, 0);
+  ExpectWholeRuns();
 }
 
 // Guards against a target that runs an upload whose caller has left in the
