Do not cut a silent answer before the timeout of its route

What callers saw: an answer that pauses for 30 s is cut although its route allows more (read; no deployment has such a timeout).

Cause: the stall limit stayed in force when the timeout of a route became the limit of the complete answer. By the users' rules a server's silence is no reason to end an answer sooner than the deadline or the route's timeout.

Change: with a routing document there is no stall limit.

Test: SilentAnswerIsNotCutBeforeTheTimeout, with a limit of 1 s and a timeout of 4 s: cut after 1.2 s on the program before, after 4 s now.

--- a/source/core/transport/node_daemon.cc
+++ b/source/core/transport/node_daemon.cc
@@ -64,7 +64,10 @@
   driver.target = settings.addresses.target;
   driver.operators = settings.addresses.operators;
   driver.operator_token = std::move(token);
-  driver.min_progress_time = node.min_progress_time;
+  // With a routing document, the timeout of its route ends an answer, and a
+  // silent target is no reason to end it sooner.
+  driver.min_progress_time =
+      node.has_route_document ? Duration::max() : node.min_progress_time;
   // The decision logic ends calls in progress before this limit; the remaining
   // time is for writing the last bytes.
   driver.longest_leave = node.longest_leave - kExitMargin / 2;
