Limit the body of the answer to a probe to 64 KB

Cause: the answer is read whole, up to 8 MB by the library's default, and each heartbeat of an unconfirmed target starts another probe.

Change: a longer body fails the probe at once and closes its connection.

Tests: ProbeWithALongAnswerFailsBeforeItsEnd failed before (no end within 20 s).

--- a/source/core/transport/targets/prober.cc
+++ b/source/core/transport/targets/prober.cc
@@ -24,7 +24,9 @@
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
 
-constexpr std::size_t kMaxReplyBytes = 16384;
+// Limits of the head and the body of an answer.
+constexpr std::size_t kMaxHeadBytes = 16384;
+constexpr std::size_t kMaxBodyBytes = 65536;
 constexpr int kHttp11 = 11;
 
 }  // namespace
@@ -33,7 +35,9 @@
 // a new connection would cost the target a handshake for each probe.
 class Prober::Probe : public std::enable_shared_from_this<Probe> {
  public:
-  Probe(Prober& prober, ProbeId id) : m_prober(prober), m_id(id) {}
+  Probe(Prober& prober, ProbeId id) : m_prober(prober), m_id(id) {
+    m_reply.body_limit(kMaxBodyBytes);
+  }
 
   void Run(const SendProbe& probe, const std::string& path) {
     m_endpoint = probe.endpoint;
@@ -92,9 +96,10 @@
       m_prober.m_events.Emit(ProbeFailed{m_id});
       return;
     }
+    const auto& reply = m_reply.get();
     const HealthVerdict verdict = m_prober.m_dialect.ReadHealth(
-        static_cast<int>(m_reply.result_int()), m_reply);
-    if (m_reply.keep_alive() && m_buffer.size() == 0)
+        static_cast<int>(reply.result_int()), reply);
+    if (reply.keep_alive() && m_buffer.size() == 0)
       m_prober.KeepIdle(m_endpoint, std::move(m_stream));
     m_prober.m_events.Emit(ProbeAnswered{
         m_id, verdict.is_healthy, Now() - m_started, verdict.instance,
@@ -109,8 +114,8 @@
   TimePoint m_valid_until;
   TimePoint m_gives_up_at;
   http::request<http::empty_body> m_request;
-  beast::flat_buffer m_buffer{kMaxReplyBytes};
-  http::response<http::string_body> m_reply;
+  beast::flat_buffer m_buffer{kMaxHeadBytes};
+  http::response_parser<http::string_body> m_reply;
 };
 
 Prober::Prober(asio::any_io_executor executor,
--- a/source/unit_tests/core/transport/node_driver_test.cc
+++ b/source/unit_tests/core/transport/node_driver_test.cc
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include "core/transport/operators/operator_server.h"
@@ -338,6 +339,25 @@
   }
 }
 
+// Guards against memory that is taken by the answer to a probe: its body goes
+// on without end.
+TEST_F(NodeDriverTest, ProbeWithALongAnswerFailsBeforeItsEnd) {
+  static constexpr std::size_t kChunkBytes = 100'000;
+  RecordingSink events;
+  RawTarget probed(context, [](RawPeer& peer) {
+    peer.received().clear();
+    peer.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+              fmt::format("{:x}\r\n", kChunkBytes) +
+              std::string(kChunkBytes, 'x') + "\r\n");
+  });
+  Prober prober(context.get_executor(), "/health", events);
+  const TimePoint later = Now() + std::chrono::seconds(60);
+  prober.Send(SendProbe{ProbeId(1), probed.endpoint(), later, later});
+  ASSERT_TRUE(RunUntil(context, [&] { return !events.events.empty(); }));
+  EXPECT_TRUE(std::holds_alternative<ProbeFailed>(events.events[0]));
+  EXPECT_TRUE(RunUntil(context, [&] { return probed.peer(0).is_at_end(); }));
+}
+
 // Guards against a handshake for every probe: a target that was probed forty
 // times a second got as many new connections.
 TEST_F(NodeDriverTest, ProbesReuseOneConnection) {
