Do not limit resets of streams between nodes

What callers saw: requests to an owner hang or are lost after the callers of some 1,000 others have left within a second, or of more than 33 a second for long.

Cause: the HTTP/2 library ends a server's session that gets more resets than that, to protect servers from strangers. Between nodes each cancelled request ends in a reset.

Change: the limit is a million a second.

Test: ManyCancellationsLeaveTheSessionOpen failed before (no request arrived for 20 s). 24 tests of the streams and the driver pass.

--- a/source/core/transport/peers/http2_session.cc
+++ b/source/core/transport/peers/http2_session.cc
@@ -38,6 +38,11 @@
 // which would reject a head of many short fields that the peer accepts.
 constexpr std::size_t kMaxSentHeadBytes = 524'288;
 
+// Resets of streams a second, and at once. Each request whose caller leaves
+// ends in one; beyond nghttp2's default limit of 33 a second the session would
+// end with all requests on it.
+constexpr std::uint64_t kMaxResets = 1'000'000;
+
 // Approximate size of one write to the socket.
 constexpr std::size_t kSendBatchBytes = 65536;
 
@@ -105,6 +110,7 @@
   // rejects, and the caller would get the outcome "unknown" for a reset.
   nghttp2_option_set_no_http_messaging(option, 1);
   nghttp2_option_set_max_send_header_block_length(option, kMaxSentHeadBytes);
+  nghttp2_option_set_stream_reset_rate_limit(option, kMaxResets, kMaxResets);
   nghttp2_session_callbacks* const callbacks = MakeCallbacks();
   if (side == Side::kClient) {
     nghttp2_session_client_new2(&m_session, callbacks, this, option);
--- a/source/unit_tests/core/transport/node_stream_test.cc
+++ b/source/unit_tests/core/transport/node_stream_test.cc
@@ -281,6 +281,26 @@
   EXPECT_EQ(listener.lost, 0);
 }
 
+// Guards against requests that are lost with their session because the callers
+// of many other requests have left: the HTTP/2 library limits resets.
+TEST_F(NodeStreamTest, ManyCancellationsLeaveTheSessionOpen) {
+  constexpr std::size_t kCancellations = 1100;
+  RecordingListener kept;
+  const auto stream = Open(kept, MakeRequest());
+  ASSERT_TRUE(RunUntilWorks(1));
+  for (std::size_t count = 1; count <= kCancellations; ++count) {
+    RecordingListener listener;
+    const auto cancelled = Open(listener, MakeRequest());
+    ASSERT_TRUE(RunUntilWorks(1 + count));
+    cancelled->Cancel();
+  }
+  RecordingListener last;
+  const auto later = Open(last, MakeRequest());
+  ASSERT_TRUE(RunUntilWorks(2 + kCancellations));
+  EXPECT_EQ(kept.lost, 0);
+  EXPECT_EQ(client.sessions(), 1U);
+}
+
 TEST_F(NodeStreamTest, StreamsOfOnePairShareASession) {
   RecordingListener listener;
   std::vector<std::shared_ptr<AttemptStream>> streams;
