--- a/source/unit_tests/core/node_logic/target_notices_test.cc
+++ b/source/unit_tests/core/node_logic/target_notices_test.cc
@@ -347,8 +347,8 @@
   RC_ASSERT(PlayHistory(seed) == "");
 }
 
-// Guards against requests to a target that is leaving, seconds after their entry
-// relayed that.
+// Guards against requests to a target that is leaving, seconds after their
+// entry relayed that.
 TEST(TargetNoticesHistories, HistoryOfSeed2646723KeepsTheGuarantees) {
   EXPECT_EQ(PlayHistory(2646723), "");
 }
