Write the contract of a test fleet again after a 503

Traced with the files of the test: the table's stand-in did not answer the node within its 1 s (contract.change status=not-written 1.05 s after the node's start; the nodes found each other through the table 0.6 s later). 503 states that nothing was written; the refusal was true.

Change: the fixture writes again until another status, which must be 200. No check of a test changes.

--- a/source/process_tests/fleet_fixture.cc
+++ b/source/process_tests/fleet_fixture.cc
@@ -15,6 +15,8 @@
 
 namespace json = boost::json;
 
+constexpr unsigned kUnavailable = 503;
+
 constexpr char kContract[] = R"(workspace: studio
 services:
   - name: session-desk
@@ -110,8 +112,14 @@
   for (std::size_t i = 0; i < m_options.instances; ++i) {
     AddInstance();
   }
-  ASSERT_EQ(WriteContract(0, kTestWorkspace, m_options.contract).status, 200U)
-      << at(0).node->StdoutText();
+  // 503 means that nothing was written, for example because the platform has not
+  // answered in time.
+  unsigned status = kUnavailable;
+  ASSERT_TRUE(WaitUntil([&] {
+    status = WriteContract(0, kTestWorkspace, m_options.contract).status;
+    return status != kUnavailable;
+  })) << at(0).node->StdoutText();
+  ASSERT_EQ(status, 200U) << at(0).node->StdoutText();
   WaitForFleet();
   if (m_options.is_warmed_up) {
     WarmUp();
