--- a/source/process_tests/fleet_fixture.cc
+++ b/source/process_tests/fleet_fixture.cc
@@ -112,8 +112,8 @@
   for (std::size_t i = 0; i < m_options.instances; ++i) {
     AddInstance();
   }
-  // 503 means that nothing was written, for example because the platform has not
-  // answered in time.
+  // 503 means that nothing was written, for example because the platform has
+  // not answered in time.
   unsigned status = kUnavailable;
   ASSERT_TRUE(WaitUntil([&] {
     status = WriteContract(0, kTestWorkspace, m_options.contract).status;
