Close an idle connection to a target on which bytes arrive

Cause: bytes that arrive after the connection was returned to the pool are only found before its next use.

Change: the pool waits for input on each idle connection and closes it when bytes or the target's close arrive.

Test: IdleConnectionWithLateBytesIsClosed failed before (no close within 20 s). 132 tests of the target client, relays, uploads and the driver pass.

--- a/source/core/transport/targets/target_client.cc
+++ b/source/core/transport/targets/target_client.cc
@@ -67,6 +67,12 @@
     return error == asio::error::would_block && buffer->size() == 0;
   }
 
+  // Ends the wait for input on the idle connection.
+  void StopWaiting() {
+    boost::system::error_code ignored;
+    socket->cancel(ignored);
+  }
+
   void Close() {
     boost::system::error_code ignored;
     socket->close(ignored);
@@ -84,7 +90,7 @@
 
 using detail::TargetConnection;
 
-struct TargetClient::Pool {
+struct TargetClient::Pool : public std::enable_shared_from_this<Pool> {
   std::shared_ptr<TargetConnection> Take() {
     const TimePoint now = Now();
     std::erase_if(idle, [now](const auto& connection) {
@@ -99,6 +105,7 @@
       std::shared_ptr<TargetConnection> connection = std::move(idle.back());
       idle.pop_back();
       if (connection->IsClean()) {
+        connection->StopWaiting();
         return connection;
       }
     }
@@ -111,9 +118,31 @@
       return;
     }
     connection->idle_since = Now();
+    connection->socket->async_wait(
+        tcp::socket::wait_read,
+        [pool = weak_from_this(),
+         waiting = connection.get()](const boost::system::error_code& error) {
+          const auto alive = pool.lock();
+          if (alive && !error) {
+            alive->Drop(waiting);
+          }
+        });
     idle.push_back(std::move(connection));
   }
 
+  // The target has closed the idle connection, or sends bytes that belong to no
+  // request. Without a request, nothing else would close it.
+  void Drop(TargetConnection* connection) {
+    std::erase_if(idle, [connection](const auto& one) {
+      if (one.get() != connection) {
+        return false;
+      }
+      // An exchange that ends may still hold the socket.
+      one->Close();
+      return true;
+    });
+  }
+
   Endpoint endpoint;
   std::vector<std::shared_ptr<TargetConnection>> idle;
 };
--- a/source/unit_tests/core/transport/target_client_test.cc
+++ b/source/unit_tests/core/transport/target_client_test.cc
@@ -182,6 +182,18 @@
   EXPECT_EQ(target->connections(), 2U);
 }
 
+// Guards against a target that sends bytes without end after a complete answer:
+// no further request used the idle connection, and nothing else closed it.
+TEST_F(TargetClientTest, IdleConnectionWithLateBytesIsClosed) {
+  StartTarget(Always(kComplete));
+  Call();
+  ASSERT_EQ(client.idle_connections(), 1U);
+  target->peer(0).Send("noise");
+  EXPECT_TRUE(
+      RunUntil(context, [this] { return target->peer(0).is_at_end(); }));
+  EXPECT_EQ(client.idle_connections(), 0U);
+}
+
 TEST_F(TargetClientTest, NewEndpointDropsOldConnections) {
   StartTarget(Always(kComplete));
   Call();
