Revert "Clear a suspect request by its complete answers"

Change: reverted.

Result: probably each entry broadcasts the clearance, which takes the bytes of membership; not traced.

--- a/source/core/pipeline/quarantine_filter.cc
+++ b/source/core/pipeline/quarantine_filter.cc
@@ -24,11 +24,8 @@
 void QuarantineFilter::OnCallEnded(TimePoint now,
                                    Call& call,
                                    const CallEnd& end) {
-  const bool is_finished = end.outcome == Outcome::kAnswered && !end.is_replay;
   if (call.holds_permit)
     EndPermit(now, call, end);
-  else if (is_finished)
-    m_quarantine.OnCallFinished(now, call.head.fingerprint);
   else
     PublishSuspicion(now, call, end);
   call.holds_permit = false;
--- a/source/core/quarantine/quarantine.cc
+++ b/source/core/quarantine/quarantine.cc
@@ -77,27 +77,18 @@
   return std::max(Duration(0), Duration(found->second.ends_at - now));
 }
 
-void Quarantine::OnCallFinished(TimePoint now, Fingerprint fingerprint) {
-  m_finished.Add(now, fingerprint);
-  if (m_suspicions.size() > 0)
-    ClearIfFinished(now, fingerprint);
-}
-
 void Quarantine::OnTargetLost(TimePoint now, Fingerprint fingerprint) {
   m_suspicions.SetState(now, fingerprint, SuspicionState::kSuspect);
-  ClearIfFinished(now, fingerprint);
 }
 
 void Quarantine::OnOwnerLost(TimePoint now, Fingerprint fingerprint) {
   RecordAndBroadcast(now, fingerprint, SuspicionState::kSuspect);
-  ClearIfFinished(now, fingerprint);
 }
 
 void Quarantine::OnOwnerRefused(TimePoint now, Fingerprint fingerprint) {
   // Keeps a clearance that the owner has not received yet.
   if (!m_suspicions.Find(now, fingerprint))
     m_suspicions.SetState(now, fingerprint, SuspicionState::kSuspect);
-  ClearIfFinished(now, fingerprint);
 }
 
 // --- Owner ------------------------------------------------------------------
@@ -146,7 +137,6 @@
     RecordAndBroadcast(now, work.fingerprint,
                        work.is_suspect ? SuspicionState::kQuarantined
                                        : SuspicionState::kSuspect);
-    ClearIfFinished(now, work.fingerprint);
   }
 }
 
@@ -187,10 +177,10 @@
   if (!datagram)
     return;
   if (datagram->news) {
-    Merge(now, *datagram->news);
+    m_suspicions.Merge(now, *datagram->news);
   }
   for (const SuspicionNews& news : datagram->known)
-    Merge(now, news);
+    m_suspicions.Merge(now, news);
   if (datagram->wants_known)
     SendKnownNews(now, from);
   if (!datagram->ask && !datagram->reply && !datagram->wants_known) {
@@ -206,7 +196,7 @@
 void Quarantine::OnBroadcast(TimePoint now, std::string_view payload) {
   const std::optional<SuspicionNews> news = DecodeNews(payload);
   if (news)
-    Merge(now, *news);
+    m_suspicions.Merge(now, *news);
 }
 
 void Quarantine::OnTimer(TimePoint now) {
@@ -328,20 +318,6 @@
     m_departed.pop_front();
 }
 
-void Quarantine::Merge(TimePoint now, const SuspicionNews& news) {
-  if (m_suspicions.Merge(now, news))
-    ClearIfFinished(now, news.fingerprint);
-}
-
-void Quarantine::ClearIfFinished(TimePoint now, Fingerprint fingerprint) {
-  if (!m_finished.Contains(now, fingerprint))
-    return;
-  const std::optional<SuspicionNews> known =
-      m_suspicions.Find(now, fingerprint);
-  if (known && known->suspicion.state == SuspicionState::kSuspect)
-    RecordAndBroadcast(now, fingerprint, SuspicionState::kCleared);
-}
-
 void Quarantine::RecordAndBroadcast(TimePoint now,
                                     Fingerprint fingerprint,
                                     SuspicionState state) {
--- a/source/core/quarantine/quarantine.h
+++ b/source/core/quarantine/quarantine.h
@@ -22,7 +22,6 @@
 #include "core/common/time.h"
 #include "core/limits/rendezvous.h"
 #include "core/quarantine/broadcast_port.h"
-#include "core/quarantine/finished_requests.h"
 #include "core/quarantine/permit_home.h"
 #include "core/quarantine/quarantine_codec.h"
 #include "core/quarantine/quarantine_settings.h"
@@ -93,10 +92,6 @@
   // not start after that time.
   Duration PermitTimeLeft(TimePoint now, Fingerprint fingerprint) const;
 
-  // A call without a permit was answered completely. Clears the request if it
-  // is suspect, or becomes suspect soon after, since a request that crashes its
-  // target is never answered.
-  void OnCallFinished(TimePoint now, Fingerprint fingerprint);
   // A dispatch without a permit failed with kTargetLost. Makes the request
   // suspect on this node before news from the owner arrives.
   void OnTargetLost(TimePoint now, Fingerprint fingerprint);
@@ -194,9 +189,6 @@
   void RequestMissedNews(TimePoint now);
   void SendKnownNews(TimePoint now, const Endpoint& to);
   void HandleReturnedMembers(TimePoint now, const std::vector<Peer>& members);
-  void Merge(TimePoint now, const SuspicionNews& news);
-  // Clears a suspect request that was answered recently.
-  void ClearIfFinished(TimePoint now, Fingerprint fingerprint);
   void RecordAndBroadcast(TimePoint now,
                           Fingerprint fingerprint,
                           SuspicionState state);
@@ -236,8 +228,6 @@
   // Newest last.
   std::deque<PastMembers> m_past_members;
   SuspicionTable m_suspicions;
-  // Requests without a permit that this node has sent.
-  FinishedRequests m_finished;
   PermitHome m_permit_home;
   // At most one for each fingerprint: a second request for it at this entry is
   // refused while the first waits for its permit or runs.
