--- a/source/stand_ins/http_server.cc
+++ b/source/stand_ins/http_server.cc
@@ -36,6 +36,20 @@
     m_is_busy = false;
     m_parser.emplace();
     m_parser->body_limit(kMaxBodyBytes);
+    http::async_read_header(
+        m_socket, m_buffer, *m_parser,
+        [self = shared_from_this()](error_code error, std::size_t) {
+          if (error || self->m_server == nullptr) {
+            self->Close();
+            return;
+          }
+          if (!self->HandleHead()) {
+            self->ReadBody();
+          }
+        });
+  }
+
+  void ReadBody() {
     http::async_read(
         m_socket, m_buffer, *m_parser,
         [self = shared_from_this()](error_code error, std::size_t) {
@@ -158,6 +172,14 @@
     return error.failed();
   }
 
+  bool HandleHead() {
+    if (!m_server->m_head_handler) {
+      return false;
+    }
+    return m_server->m_head_handler(
+        std::make_shared<ServerExchange>(shared_from_this(), m_parser->get()));
+  }
+
   void HandleRequest() {
     m_is_busy = true;
     ++m_request_count;
--- a/source/stand_ins/http_server.h
+++ b/source/stand_ins/http_server.h
@@ -81,6 +81,9 @@
 class HttpServer {
  public:
   using Handler = std::function<void(std::shared_ptr<ServerExchange>)>;
+  // Gets a request without its body. Returns whether it answers the request
+  // itself; then the body is not read.
+  using HeadHandler = std::function<bool(std::shared_ptr<ServerExchange>)>;
 
   // Throws boost::system::system_error if it cannot listen. Port 0 selects a
   // free port.
@@ -92,6 +95,10 @@
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
 
+  void SetHeadHandler(HeadHandler handler) {
+    m_head_handler = std::move(handler);
+  }
+
   Endpoint endpoint() const;
   std::size_t connection_count() const { return m_sessions.size(); }
 
@@ -109,6 +116,8 @@
   boost::asio::io_context& m_io;
   boost::asio::ip::tcp::acceptor m_acceptor;
   Handler m_handler;
+  // May be empty.
+  HeadHandler m_head_handler;
   // Open sessions; each removes itself when it closes.
   std::set<std::shared_ptr<detail::ServerSession>> m_sessions;
   bool m_is_draining = false;
