Do not relay a part of an answer whose upload was reset as complete

What callers saw: a target answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written.

Cause: the kernel reports a reset once. With a write in progress the write gets it, and the next read reports an ordinary end. A failed write was ignored, since a target may stop reading and still answer, so the end counted as that of the answer.

Change: the writer remembers that a write failed because the connection was lost; an answer that ends with that connection is then an error of its source.

Ruled out elsewhere: the clients of the store and of operator pages start reading only after the whole request was written and fail with the write; of a probe's answer only the head counts; streams between nodes mark the end of an answer.

--- a/source/core/transport/http1_writer.h
+++ b/source/core/transport/http1_writer.h
@@ -49,6 +49,11 @@
            m_body_bytes == m_shape.length;
   }
 
+  // Whether a write failed because the connection was reset or lost, and not
+  // because the peer had closed it. The error is reported only once, so that a
+  // later read reports an ordinary end of the input.
+  bool is_connection_lost() const { return m_is_connection_lost; }
+
   // Whether the socket has accepted all bytes.
   bool is_idle() const { return !m_is_writing && m_pending.empty(); }
 
@@ -71,6 +76,7 @@
   bool m_is_writing = false;
   bool m_has_sent = false;
   bool m_has_failed = false;
+  bool m_is_connection_lost = false;
 };
 
 }  // namespace bulrushmount
--- a/source/core/transport/targets/target_client.cc
+++ b/source/core/transport/targets/target_client.cc
@@ -186,6 +186,9 @@
   void Read(ReadCallback callback) override {
     m_reader->Read([self = shared_from_this(),
                     callback = std::move(callback)](BodyRead read) {
+      if (read.status == BodyStatus::kEnd && self->IsEndLost()) {
+        read.status = BodyStatus::kError;
+      }
       if (read.status == BodyStatus::kError) {
         self->End(false);
       }
@@ -208,6 +211,13 @@
   void Answer();
   void Fail();
 
+  // Whether the answer ends with its connection, and this was lost instead of
+  // closed.
+  bool IsEndLost() const {
+    return m_connection && m_connection->writer->is_connection_lost() &&
+           m_reader->parser().need_eof();
+  }
+
   // Returns the connection to the pool only after a complete exchange, so that
   // a late answer cannot be taken for the answer to a later request.
   void End(bool is_clean);
--- /dev/null
+++ b/source/unit_tests/core/transport/broken_answer_test.cc
@@ -0,0 +1,213 @@
+// Tests answers of a target that are incomplete or are none in HTTP, relayed
+// through one or two real nodes. Callers may get no such answer as complete.
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <tuple>
+
+#include <gtest/gtest.h>
+
+#include "unit_tests/core/transport/transport_test_support.h"
+
+namespace bulrushmount::testing {
+namespace {
+
+enum class Path { kLocal, kTwoNodes };
+enum class Framing { kLength, kChunked };
+enum class Origin { kCaller, kTarget };
+
+// More than the socket buffers between a caller and a target hold.
+constexpr std::size_t kLongBodyBytes = std::size_t{64} << 20;
+constexpr std::size_t kPieceBytes = 65536;
+// A loop that has nothing to do for this long waits for a peer to read.
+constexpr auto kIdleTime = std::chrono::milliseconds(50);
+
+constexpr char kBegunAnswer[] = "HTTP/1.1 200 OK\r\nX-Note: a\r\n\r\nbegun";
+constexpr char kEndOfChunks[] = "0\r\n\r\n";
+constexpr char kParentAnswer[] =
+    "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nparent";
+
+// Accepts answers that end with their connection.
+class OpenEndedDialect : public NativeTargetDialect {
+ public:
+  bool MayEndWithConnection() const override { return true; }
+};
+
+// Nodes and a target on which the test writes answers itself.
+class BrokenAnswerTest : public ::testing::Test {
+ public:
+  explicit BrokenAnswerTest(Path path) : m_path(path) {
+    owner.Announce(target.endpoint());
+    first().SendTo(owner);
+  }
+
+  // The node that the caller is connected to.
+  TestNode& first() { return m_path == Path::kLocal ? owner : entry; }
+  TestNode& other() { return m_path == Path::kLocal ? entry : owner; }
+
+  static DriverSettings Settings(std::uint64_t id) {
+    static const OpenEndedDialect dialect;
+    DriverSettings settings = LoopbackSettings(id);
+    settings.target_dialect = &dialect;
+    return settings;
+  }
+
+  void ConnectCaller() {
+    caller = RawPeer::Connect(context, first().driver.caller_endpoint());
+  }
+
+  // Waits until the target has the head of a request on a new connection.
+  void AwaitRequest() {
+    const std::size_t before = target.connections();
+    ASSERT_TRUE(
+        RunUntil(context, [&] { return target.connections() > before; }));
+    peer = &target.peer(before);
+    ASSERT_TRUE(RunUntil(context, [this] {
+      return peer->received().find("\r\n\r\n") != std::string::npos;
+    }));
+  }
+
+  boost::asio::io_context context;
+  RawTarget target{context, [](RawPeer&) {}};
+  TestNode owner{context, Settings(2)};
+  TestNode entry{context, Settings(1)};
+  std::shared_ptr<RawPeer> caller;
+  // The connection of the newest request.
+  RawPeer* peer = nullptr;
+
+ private:
+  const Path m_path;
+};
+
+// --- Answers that end during the upload -------------------------------------
+
+class EarlyAnswerTest
+    : public BrokenAnswerTest,
+      public ::testing::WithParamInterface<std::tuple<Path, Framing, Origin>> {
+ public:
+  EarlyAnswerTest() : BrokenAnswerTest(std::get<Path>(GetParam())) {
+    if (std::get<Origin>(GetParam()) == Origin::kTarget)
+      StartParent();
+  }
+
+  // Starts a request at the target beside the first node. The upload is a call
+  // that it makes while it runs that request.
+  void StartParent() {
+    first().Announce(parent_target.endpoint());
+    other().SendTo(first());
+    parent_caller = RawPeer::Connect(context, other().driver.caller_endpoint());
+    parent_caller->Send(Get("/parent"));
+    EXPECT_TRUE(
+        RunUntil(context, [this] { return parent_target.connections() > 0; }));
+    if (&first() == &owner) {
+      owner.Announce(target.endpoint());
+    }
+  }
+
+  void ExpectParentAnswered() {
+    if (!parent_caller)
+      return;
+    parent_target.peer(0).Send(kParentAnswer);
+    EXPECT_TRUE(RunUntil(context, [this] {
+      return parent_caller->received().ends_with("parent");
+    }));
+  }
+
+  bool IsChunked() const {
+    return std::get<Framing>(GetParam()) == Framing::kChunked;
+  }
+
+  // Begins an upload, answers its first part, and continues the upload until
+  // the target, which reads nothing more, holds it up.
+  void AnswerDuringUpload() {
+    ConnectCaller();
+    caller->Send("POST /a HTTP/1.1\r\nHost: desk\r\n" +
+                 (IsChunked()
+                      ? std::string("Transfer-Encoding: chunked")
+                      : "Content-Length: " + std::to_string(kLongBodyBytes)) +
+                 "\r\n\r\n");
+    SendPiece();
+    ASSERT_NO_FATAL_FAILURE(AwaitRequest());
+    peer->Pause();
+    peer->Send(kBegunAnswer);
+    ASSERT_TRUE(RunUntil(context, [this] {
+      return caller->received().find("begun") != std::string::npos;
+    }));
+    const std::size_t pieces = kLongBodyBytes / kPieceBytes;
+    for (std::size_t piece = 1; piece < pieces && caller->sends() == 0; ++piece)
+      SendPieceUntilIdle();
+    ASSERT_GT(caller->sends(), 0U);
+  }
+
+  void SendPiece() {
+    const std::string piece(kPieceBytes, 'x');
+    caller->Send(IsChunked() ? "10000\r\n" + piece + "\r\n" : piece);
+  }
+
+  void SendPieceUntilIdle() {
+    SendPiece();
+    while (caller->sends() > 0 && context.run_one_for(kIdleTime) > 0) {
+    }
+  }
+
+  std::string AnswerAtItsEnd() {
+    EXPECT_TRUE(RunUntil(context, [this] {
+      return caller->is_at_end() || caller->received().ends_with(kEndOfChunks);
+    }));
+    return caller->received();
+  }
+
+  RawTarget parent_target{context, [](RawPeer&) {}};
+  std::shared_ptr<RawPeer> parent_caller;
+};
+
+// Guards against a part of an answer that is relayed as complete: the failed
+// write of the upload takes the connection's error, and the next read reports
+// an ordinary end.
+TEST_P(EarlyAnswerTest, ResetDuringTheUploadIsNoEndOfTheAnswer) {
+  ASSERT_NO_FATAL_FAILURE(AnswerDuringUpload());
+  peer->Reset();
+  const std::string answer = AnswerAtItsEnd();
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << answer;
+  EXPECT_FALSE(answer.ends_with(kEndOfChunks)) << answer;
+  ExpectParentAnswered();
+}
+
+// Guards against a complete answer that is cut because its target does not read
+// the rest of the upload.
+TEST_P(EarlyAnswerTest, CloseDuringTheUploadIsTheEndOfTheAnswer) {
+  ASSERT_NO_FATAL_FAILURE(AnswerDuringUpload());
+  peer->ShutdownSend();
+  const std::string answer = AnswerAtItsEnd();
+  EXPECT_TRUE(answer.ends_with(kEndOfChunks)) << answer;
+  ExpectParentAnswered();
+}
+
+// Guards against the same if the target resets the connection after its end.
+TEST_P(EarlyAnswerTest, ResetAfterTheCloseIsTheEndOfTheAnswer) {
+  ASSERT_NO_FATAL_FAILURE(AnswerDuringUpload());
+  peer->ShutdownSend();
+  peer->Reset();
+  const std::string answer = AnswerAtItsEnd();
+  EXPECT_TRUE(answer.ends_with(kEndOfChunks)) << answer;
+  ExpectParentAnswered();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Uploads,
+    EarlyAnswerTest,
+    ::testing::Combine(::testing::Values(Path::kLocal, Path::kTwoNodes),
+                       ::testing::Values(Framing::kLength, Framing::kChunked),
+                       ::testing::Values(Origin::kCaller, Origin::kTarget)),
+    [](const auto& info) {
+      return std::string(std::get<Path>(info.param) == Path::kLocal
+                             ? "Local"
+                             : "TwoNodes") +
+             (std::get<Framing>(info.param) == Framing::kLength ? "Length"
+                                                                : "Chunked") +
+             (std::get<Origin>(info.param) == Origin::kCaller ? "" : "Nested");
+    });
+
+}  // namespace
+}  // namespace bulrushmount::testing
--- a/source/unit_tests/core/transport/transport_test_support.cc
+++ b/source/unit_tests/core/transport/transport_test_support.cc
@@ -89,6 +89,11 @@
   ResetSocket(m_socket);
 }
 
+void RawPeer::ShutdownSend() {
+  boost::system::error_code ignored;
+  m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
 RawTarget::RawTarget(asio::io_context& context, OnBytes on_bytes)
     : m_listener(context,
                  tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)),
--- a/source/unit_tests/core/transport/transport_test_support.h
+++ b/source/unit_tests/core/transport/transport_test_support.h
@@ -51,6 +51,8 @@
   void Pause() { m_is_paused = true; }
   void Close();
   void Reset();
+  // Ends what this peer sends; the connection stays open.
+  void ShutdownSend();
   // Closes the connection once all bytes are sent.
   void CloseAfterSend();
 
