Do not take an answer with an invalid status for one

What callers saw: a target in trouble sent an answer with the status 000 whose body had the form of an answer; the caller got that body as its answer, a 200. Without one it waited until the target closed the connection or the time was up. A status from 600 on was relayed within one node; another entry took it for the loss of the owner's node.

Cause: Beast's parser accepts any three digits. Every status below 200 counted as an interim answer, whose body is not read, so that the body was parsed as the next head.

Streams between nodes refused such a status already; two cases were added to their test.

Change: AsyncReadAnswerHead reads the head of an answer for targets, probes, the store's client and bulrushmountctl. It works like Beast's async_read_header and fails for a status outside 100 to 599 (RFC 9110, section 15), so that the exchange ends like one with bytes that are no answer: 502 to the caller, and the connection to the target is closed.

--- a/source/bulrushmountctl/operator_client.cc
+++ b/source/bulrushmountctl/operator_client.cc
@@ -12,6 +12,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "core/common/answer_head_read.h"
+
 namespace bulrushmount {
 
 namespace {
@@ -48,6 +50,10 @@
 
   error_code Read(http::response_parser<http::string_body>& parser) {
     m_stream.expires_after(m_timeout);
+    AsyncReadAnswerHead(m_stream, m_buffer, parser,
+                        [this](error_code e) { m_error = e; });
+    if (Run())
+      return m_error;
     http::async_read(m_stream, m_buffer, parser,
                      [this](error_code e, std::size_t) { m_error = e; });
     return Run();
--- a/source/core/store/http_client.cc
+++ b/source/core/store/http_client.cc
@@ -17,6 +17,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "core/common/answer_head_read.h"
 #include "core/common/tcp_options.h"
 #include "core/store/idle_sockets.h"
 
@@ -159,6 +160,20 @@
 
   void Read() {
     m_parser.body_limit(m_pool->settings().max_reply_bytes);
+    AsyncReadAnswerHead(*m_socket, m_buffer, m_parser,
+                        [self = shared_from_this()](error_code error) {
+                          if (self->m_is_done) {
+                            return;
+                          }
+                          if (error) {
+                            self->Fail(true);
+                            return;
+                          }
+                          self->ReadBody();
+                        });
+  }
+
+  void ReadBody() {
     http::async_read(
         *m_socket, m_buffer, m_parser,
         [self = shared_from_this()](error_code error, std::size_t) {
--- a/source/core/transport/targets/prober.cc
+++ b/source/core/transport/targets/prober.cc
@@ -15,6 +15,8 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "core/common/answer_head_read.h"
+
 namespace bulrushmount {
 
 namespace {
@@ -91,6 +93,18 @@
     http::async_write(*m_stream, m_request,
                       [self = shared_from_this()](
                           const boost::system::error_code&, std::size_t) {});
+    AsyncReadAnswerHead(
+        *m_stream, m_buffer, m_reply,
+        [self = shared_from_this()](const boost::system::error_code& failure) {
+          self->OnHead(failure);
+        });
+  }
+
+  void OnHead(const boost::system::error_code& error) {
+    if (error) {
+      OnReply(error);
+      return;
+    }
     http::async_read(
         *m_stream, m_buffer, m_reply,
         [self = shared_from_this()](const boost::system::error_code& failure,
--- a/source/core/transport/targets/target_client.cc
+++ b/source/core/transport/targets/target_client.cc
@@ -12,8 +12,8 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/read.hpp>
 
+#include "core/common/answer_head_read.h"
 #include "core/common/logging.h"
 #include "core/transport/http1_reader.h"
 #include "core/transport/http1_writer.h"
@@ -302,12 +302,10 @@
   if (m_head.method == "HEAD") {
     m_reader->parser().skip(true);
   }
-  http::async_read_header(
+  AsyncReadAnswerHead(
       *m_connection->socket, *m_connection->buffer, m_reader->parser(),
       [self = shared_from_this(), reader = m_reader, connection = m_connection](
-          const boost::system::error_code& error, std::size_t) {
-        self->OnHead(error);
-      });
+          const boost::system::error_code& error) { self->OnHead(error); });
 }
 
 void Exchange::OnHead(const boost::system::error_code& error) {
--- a/source/unit_tests/bulrushmountctl/ctl_test.cc
+++ b/source/unit_tests/bulrushmountctl/ctl_test.cc
@@ -27,6 +27,8 @@
   unsigned status = 200;
   std::string body;
   std::string etag;
+  // If not empty, sent instead of a reply; then the connection is closed.
+  std::string bytes;
 };
 
 // Accepts one connection for each reply, answers them in order and stops.
@@ -66,6 +68,10 @@
       m_requests.push_back(line.str());
       if (reply.status == 0)
         continue;
+      if (!reply.bytes.empty()) {
+        asio::write(socket, asio::buffer(reply.bytes));
+        continue;
+      }
       http::response<http::string_body> response;
       response.result(reply.status);
       response.body() = reply.body;
@@ -195,6 +201,32 @@
         ReplyCase{"Closed", {0, "", ""}, CtlExitCode::kUnknown, "read back"}),
     [](const auto& info) { return info.param.name; });
 
+struct BrokenReply {
+  std::string name;
+  std::string bytes;
+};
+
+class CtlBrokenReplyTest : public testing::TestWithParam<BrokenReply> {};
+
+// Guards against an outcome that is read from a broken reply of a node.
+TEST_P(CtlBrokenReplyTest, LeavesTheOutcomeUnknown) {
+  ScriptedNode node({{200, "", "", GetParam().bytes}});
+  const CtlResult result =
+      RunCtlCommand({"--node", node.address(), "contract", "write", kStudio,
+                     "--if-version", "7"});
+  EXPECT_EQ(result.exit, CtlExitCode::kUnknown) << result.error;
+  EXPECT_THAT(result.error, HasSubstr("read back"));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    InvalidStatuses,
+    CtlBrokenReplyTest,
+    testing::Values(BrokenReply{"Status000",
+                                "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n"},
+                    BrokenReply{"Status600",
+                                "HTTP/1.1 600 X\r\nContent-Length: 0\r\n\r\n"}),
+    [](const auto& info) { return info.param.name; });
+
 TEST(CtlTest, SummarizesLogsWithoutANode) {
   const std::string name = testing::TempDir() + "logs_of_two_nodes";
   std::ofstream(name)
--- /dev/null
+++ b/source/unit_tests/core/store/http_client_test.cc
@@ -0,0 +1,67 @@
+// Tests which bytes of a server the HTTP client accepts as an answer.
+
+#include "core/store/http_client.h"
+
+#include <optional>
+#include <string>
+#include <utility>
+
+#include <gtest/gtest.h>
+
+#include "unit_tests/core/transport/transport_test_support.h"
+
+namespace bulrushmount::testing {
+namespace {
+
+struct BrokenReply {
+  const char* name;
+  const char* bytes;
+  // Whether the server closes the connection after these bytes.
+  bool ends_with_close = false;
+};
+
+class BrokenReplyTest : public ::testing::TestWithParam<BrokenReply> {};
+
+// Guards against a broken reply of the store that is taken for its answer, and
+// against a connection that is used again after it.
+TEST_P(BrokenReplyTest, IsUnknownAndItsConnectionIsClosed) {
+  boost::asio::io_context context;
+  RawTarget server(context, [](RawPeer& peer) {
+    if (peer.received().find("\r\n\r\n") == std::string::npos)
+      return;
+    peer.received().clear();
+    peer.Send(GetParam().bytes);
+    if (GetParam().ends_with_close)
+      peer.ShutdownSend();
+  });
+  HttpClientSettings settings;
+  settings.server = server.endpoint();
+  settings.timeout = kLimit;
+  HttpClient client(context, settings);
+  std::optional<HttpReply> reply;
+  client.Send(HttpRequest(boost::beast::http::verb::get, "/", 11),
+              [&reply](HttpReply got) { reply = std::move(got); });
+  // Half of the time limit of the call: it must not end by that.
+  ASSERT_TRUE(RunUntil(
+      context, [&reply] { return reply.has_value(); }, kLimit / 2));
+  EXPECT_EQ(reply->delivery, HttpDelivery::kUnknown) << reply->status;
+  EXPECT_TRUE(
+      RunUntil(context, [&server] { return server.peer(0).is_at_end(); }));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    InvalidStatuses,
+    BrokenReplyTest,
+    ::testing::Values(
+        BrokenReply{"Status000",
+                    "HTTP/1.1 000 Trouble\r\nContent-Length: 6\r\n\r\nforged"},
+        BrokenReply{"Status000WithoutLength",
+                    "HTTP/1.1 000 Trouble\r\n\r\nforged", true},
+        BrokenReply{"Status099",
+                    "HTTP/1.1 099 Trouble\r\nContent-Length: 6\r\n\r\nforged"},
+        BrokenReply{"Status600",
+                    "HTTP/1.1 600 Trouble\r\nContent-Length: 6\r\n\r\nforged"}),
+    [](const auto& info) { return info.param.name; });
+
+}  // namespace
+}  // namespace bulrushmount::testing
--- a/source/unit_tests/core/transport/broken_answer_test.cc
+++ b/source/unit_tests/core/transport/broken_answer_test.cc
@@ -209,5 +209,100 @@
              (std::get<Origin>(info.param) == Origin::kCaller ? "" : "Nested");
     });
 
+// --- Heads that are none ----------------------------------------------------
+
+enum class Upload { kNone, kLength, kChunked };
+
+struct BrokenHead {
+  const char* name;
+  std::string bytes;
+  // Whether the target closes the connection after these bytes.
+  bool ends_with_close = false;
+};
+
+// A head and a body which has the form of an answer itself.
+std::string WithAnswerInside(const std::string& head) {
+  const std::string inside =
+      "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nforged";
+  return head + "Content-Length: " + std::to_string(inside.size()) +
+         "\r\n\r\n" + inside;
+}
+
+std::string WithField(const std::string& line) {
+  return "HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 6\r\n\r\nforged";
+}
+
+class BrokenHeadTest : public BrokenAnswerTest,
+                       public ::testing::WithParamInterface<
+                           std::tuple<Path, Upload, BrokenHead>> {
+ public:
+  BrokenHeadTest() : BrokenAnswerTest(std::get<Path>(GetParam())) {}
+
+  static std::string Request() {
+    const std::string post = "POST /a HTTP/1.1\r\nHost: desk\r\n";
+    switch (std::get<Upload>(GetParam())) {
+      case Upload::kNone:
+        return Get("/a");
+      case Upload::kLength:
+        return post + "Content-Length: 5\r\n\r\nhello";
+      case Upload::kChunked:
+        return post +
+               "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n";
+    }
+    return {};
+  }
+};
+
+// Guards against bytes of a target that are no answer but are relayed as one,
+// and against a call that waits for more of them.
+TEST_P(BrokenHeadTest, IsNotRelayedAndItsConnectionIsClosed) {
+  const BrokenHead& head = std::get<BrokenHead>(GetParam());
+  ConnectCaller();
+  caller->Send(Request());
+  ASSERT_NO_FATAL_FAILURE(AwaitRequest());
+  peer->Send(head.bytes);
+  if (head.ends_with_close)
+    peer->ShutdownSend();
+  ASSERT_TRUE(RunUntil(context, [this] {
+    return caller->received().find("\r\n\r\n") != std::string::npos;
+  }));
+  const std::string& answer = caller->received();
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 502 ")) << answer;
+  EXPECT_NE(answer.find("Bulrushmount-Outcome: unknown\r\n"), std::string::npos)
+      << answer;
+  EXPECT_TRUE(RunUntil(context, [this] { return peer->is_at_end(); }));
+}
+
+std::string NameOf(
+    const ::testing::TestParamInfo<BrokenHeadTest::ParamType>& info) {
+  const Upload upload = std::get<Upload>(info.param);
+  return std::string(std::get<Path>(info.param) == Path::kLocal ? "Local"
+                                                                : "TwoNodes") +
+         (upload == Upload::kNone     ? ""
+          : upload == Upload::kLength ? "Length"
+                                      : "Chunked") +
+         std::get<BrokenHead>(info.param).name;
+}
+
+const BrokenHead kInvalidStatuses[] = {
+    {"Status000", "HTTP/1.1 000 Trouble\r\nContent-Length: 6\r\n\r\nforged"},
+    {"Status000WithoutLength", "HTTP/1.1 000 Trouble\r\n\r\nforged", true},
+    {"Status000WithAnswerInside", WithAnswerInside("HTTP/1.1 000 Trouble\r\n")},
+    {"Status099WithAnswerInside", WithAnswerInside("HTTP/1.1 099 Trouble\r\n")},
+    {"Status600", "HTTP/1.1 600 Trouble\r\nContent-Length: 6\r\n\r\nforged"},
+    {"Status999", "HTTP/1.1 999 Trouble\r\nContent-Length: 6\r\n\r\nforged"},
+    {"Status000AfterInterimAnswer",
+     "HTTP/1.1 103 Early Hints\r\n\r\n" +
+         WithAnswerInside("HTTP/1.1 000 Trouble\r\n")}};
+
+INSTANTIATE_TEST_SUITE_P(
+    InvalidStatuses,
+    BrokenHeadTest,
+    ::testing::Combine(
+        ::testing::Values(Path::kLocal, Path::kTwoNodes),
+        ::testing::Values(Upload::kNone, Upload::kLength, Upload::kChunked),
+        ::testing::ValuesIn(kInvalidStatuses)),
+    NameOf);
+
 }  // namespace
 }  // namespace bulrushmount::testing
--- a/source/unit_tests/core/transport/node_driver_test.cc
+++ b/source/unit_tests/core/transport/node_driver_test.cc
@@ -342,6 +342,50 @@
   }
 }
 
+struct BrokenHealthAnswer {
+  const char* name;
+  const char* bytes;
+  // Whether the target closes the connection after these bytes.
+  bool ends_with_close = false;
+};
+
+class BrokenHealthAnswerTest
+    : public ::testing::TestWithParam<BrokenHealthAnswer> {};
+
+// Guards against the report of a healthy or unhealthy target that is read from
+// a broken answer to a probe.
+TEST_P(BrokenHealthAnswerTest, FailsTheProbeAndClosesItsConnection) {
+  boost::asio::io_context context;
+  RecordingSink events;
+  RawTarget probed(context, [](RawPeer& peer) {
+    peer.received().clear();
+    peer.Send(GetParam().bytes);
+    if (GetParam().ends_with_close)
+      peer.ShutdownSend();
+  });
+  Prober prober(context.get_executor(), "/health", events);
+  // Later than the limit of the test: the probe must not end by that.
+  const TimePoint later = Now() + 2 * kLimit;
+  prober.Send(SendProbe{ProbeId(1), probed.endpoint(), later, later});
+  ASSERT_TRUE(RunUntil(context, [&] { return !events.events.empty(); }));
+  EXPECT_TRUE(std::holds_alternative<ProbeFailed>(events.events[0]));
+  EXPECT_TRUE(RunUntil(context, [&] { return probed.peer(0).is_at_end(); }));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    InvalidStatuses,
+    BrokenHealthAnswerTest,
+    ::testing::Values(
+        BrokenHealthAnswer{"Status000",
+                           "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n"},
+        BrokenHealthAnswer{"Status000WithoutLength",
+                           "HTTP/1.1 000 X\r\n\r\nforged", true},
+        BrokenHealthAnswer{"Status099",
+                           "HTTP/1.1 099 X\r\nContent-Length: 0\r\n\r\n"},
+        BrokenHealthAnswer{"Status600",
+                           "HTTP/1.1 600 X\r\nContent-Length: 0\r\n\r\n"}),
+    [](const auto& info) { return info.param.name; });
+
 // Guards against memory that is taken by the answer to a probe: its body goes
 // on without end.
 TEST_F(NodeDriverTest, ProbeWithALongAnswerFailsBeforeItsEnd) {
--- a/source/unit_tests/core/transport/node_stream_test.cc
+++ b/source/unit_tests/core/transport/node_stream_test.cc
@@ -413,6 +413,8 @@
   for (const Undecodable& one :
        {Undecodable{"Status", ":status", "20x"},
         Undecodable{"Interim", ":status", "100"},
+        Undecodable{"Zero", ":status", "000"},
+        Undecodable{"TooHigh", ":status", "600"},
         Undecodable{"Verdict", "bulrushmount-verdict", "maybe"},
         Undecodable{"Load", "bulrushmount-load", "1 2"},
         Undecodable{"Process", "bulrushmount-load", "1 2 3 4 100 x - 0"},
