Do not take an answer with a folded line for one

What callers saw: a target in trouble sent a head in which the line of the length began with a blank, and closed the connection in the middle of the body. The caller got a 200 with that part of the body as complete; with the encoding on such a line the body also contained the sizes of the chunks. The hidden line was passed on as a part of the field before it ("x-note: a Content-Length: 60").

Cause: a line that begins with a blank continues the line before it, and Beast appends it to that field, so that the length does not count and the answer ends with its connection. The heads of requests were checked for it, those of answers were not.

Change: AsyncReadAnswerHead fails for a head with a folded line. RFC 9112, section 5.2, lets a proxy refuse such an answer with a 502 or unfold it; what its sender meant cannot be told, and the refusal is true in both cases. Trailers are dropped, so their folded lines change nothing. Streams between nodes have no lines.

--- a/source/core/common/answer_head_read.h
+++ b/source/core/common/answer_head_read.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string_view>
 #include <utility>
 
 #include <boost/asio/compose.hpp>
@@ -70,14 +71,25 @@
     return m_parser.got_some() ? error::partial_message : error::end_of_stream;
   }
 
+  // The parser takes whole lines, each with the lines that continue it.
   void Parse() {
-    m_buffer.consume(m_parser.put(m_buffer.data(), m_error));
+    const auto input = m_buffer.data();
+    const std::size_t taken = m_parser.put(input, m_error);
     if (m_error == boost::beast::http::error::need_more)
       m_error = {};
+    const std::string_view lines(static_cast<const char*>(input.data()), taken);
+    if (!m_error && HasFoldedLine(lines))
+      m_error = boost::beast::http::error::bad_field;
+    m_buffer.consume(taken);
     if (!m_error && m_parser.is_header_done())
       CheckStatus();
   }
 
+  static bool HasFoldedLine(std::string_view lines) {
+    return lines.find("\n ") != std::string_view::npos ||
+           lines.find("\n\t") != std::string_view::npos;
+  }
+
   void CheckStatus() {
     const unsigned status = m_parser.get().result_int();
     if (status < kMinStatus || status > kMaxStatus)
@@ -112,7 +124,10 @@
 // Reads until `parser` has the head of an answer, like Beast's
 // async_read_header, and leaves the bytes after it in `buffer`. `handler` gets
 // the error. Besides the parser's errors there is:
-// - bad_status for a status code outside the valid range.
+// - bad_status for a status code outside the valid range,
+// - bad_field for a line that begins with a blank. Beast appends it to the line
+//   before (RFC 9112, section 5.2), and a length or an encoding on it would not
+//   count.
 template <typename Stream, typename Parser, typename Handler>
 void AsyncReadAnswerHead(Stream& stream,
                          boost::beast::flat_buffer& buffer,
--- a/source/unit_tests/bulrushmountctl/ctl_test.cc
+++ b/source/unit_tests/bulrushmountctl/ctl_test.cc
@@ -227,6 +227,18 @@
                                 "HTTP/1.1 600 X\r\nContent-Length: 0\r\n\r\n"}),
     [](const auto& info) { return info.param.name; });
 
+INSTANTIATE_TEST_SUITE_P(
+    FoldedLines,
+    CtlBrokenReplyTest,
+    testing::Values(BrokenReply{"FoldedLine",
+                                "HTTP/1.1 200 OK\r\nX-Note: a\r\n b\r\n"
+                                "Content-Length: 6\r\n\r\nforged"},
+                    BrokenReply{
+                        "FoldedLength",
+                        "HTTP/1.1 200 OK\r\nX-Note: a\r\n Content-Length: 60"
+                        "\r\n\r\nforged"}),
+    [](const auto& info) { return info.param.name; });
+
 TEST(CtlTest, SummarizesLogsWithoutANode) {
   const std::string name = testing::TempDir() + "logs_of_two_nodes";
   std::ofstream(name)
--- a/source/unit_tests/core/store/http_client_test.cc
+++ b/source/unit_tests/core/store/http_client_test.cc
@@ -63,5 +63,18 @@
                     "HTTP/1.1 600 Trouble\r\nContent-Length: 6\r\n\r\nforged"}),
     [](const auto& info) { return info.param.name; });
 
+INSTANTIATE_TEST_SUITE_P(
+    FoldedLines,
+    BrokenReplyTest,
+    ::testing::Values(BrokenReply{"FoldedLine",
+                                  "HTTP/1.1 200 OK\r\nX-Note: a\r\n b\r\n"
+                                  "Content-Length: 6\r\n\r\nforged"},
+                      BrokenReply{
+                          "FoldedLength",
+                          "HTTP/1.1 200 OK\r\nX-Note: a\r\n Content-Length: 60"
+                          "\r\n\r\nforged",
+                          true}),
+    [](const auto& info) { return info.param.name; });
+
 }  // namespace
 }  // namespace bulrushmount::testing
--- a/source/unit_tests/core/transport/broken_answer_test.cc
+++ b/source/unit_tests/core/transport/broken_answer_test.cc
@@ -304,5 +304,29 @@
         ::testing::ValuesIn(kInvalidStatuses)),
     NameOf);
 
+const BrokenHead kFoldedLines[] = {
+    {"FoldedLine", WithField("X-Note: a\r\n b")},
+    {"FoldedLineAtATab", WithField("X-Note: a\r\n\tb")},
+    {"BlankLineAfterAField", WithField("X-Note: a\r\n ")},
+    {"FoldedLength",
+     "HTTP/1.1 200 OK\r\nX-Note: a\r\n Content-Length: 60\r\n\r\nforged", true},
+    {"FoldedEncoding",
+     "HTTP/1.1 200 OK\r\nX-Note: a\r\n Transfer-Encoding: chunked\r\n\r\n"
+     "6\r\nforged\r\n0\r\n\r\n",
+     true},
+    {"FoldedLineInInterimAnswer",
+     "HTTP/1.1 103 Early Hints\r\nX-Note: a\r\n b\r\n\r\n" +
+         WithField("X-Note: a")}};
+
+INSTANTIATE_TEST_SUITE_P(FoldedLines,
+                         BrokenHeadTest,
+                         ::testing::Combine(::testing::Values(Path::kLocal,
+                                                              Path::kTwoNodes),
+                                            ::testing::Values(Upload::kNone,
+                                                              Upload::kLength,
+                                                              Upload::kChunked),
+                                            ::testing::ValuesIn(kFoldedLines)),
+                         NameOf);
+
 }  // namespace
 }  // namespace bulrushmount::testing
--- a/source/unit_tests/core/transport/node_driver_test.cc
+++ b/source/unit_tests/core/transport/node_driver_test.cc
@@ -386,6 +386,19 @@
                            "HTTP/1.1 600 X\r\nContent-Length: 0\r\n\r\n"}),
     [](const auto& info) { return info.param.name; });
 
+INSTANTIATE_TEST_SUITE_P(
+    FoldedLines,
+    BrokenHealthAnswerTest,
+    ::testing::Values(
+        BrokenHealthAnswer{"FoldedLine",
+                           "HTTP/1.1 200 OK\r\nX-Note: a\r\n b\r\n"
+                           "Content-Length: 6\r\n\r\nforged"},
+        BrokenHealthAnswer{"FoldedLength",
+                           "HTTP/1.1 200 OK\r\nX-Note: a\r\n Content-Length: 60"
+                           "\r\n\r\nforged",
+                           true}),
+    [](const auto& info) { return info.param.name; });
+
 // Guards against memory that is taken by the answer to a probe: its body goes
 // on without end.
 TEST_F(NodeDriverTest, ProbeWithALongAnswerFailsBeforeItsEnd) {
