Test a reset in the answers of the store and of probes

Cause: that the reset during an upload can't pass for the end of an answer there had only been read in the code.

Change: tests only. A server answers a request of 64 MB that it does not read with a 200 without a length and resets the connection; a target does so in its answer to a probe.

--- a/source/unit_tests/core/store/http_client_test.cc
+++ b/source/unit_tests/core/store/http_client_test.cc
@@ -2,6 +2,8 @@
 
 #include "core/store/http_client.h"
 
+#include <chrono>
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <utility>
@@ -102,5 +104,38 @@
                     "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r", true}),
     [](const auto& info) { return info.param.name; });
 
+// More than the socket buffers of both ends hold.
+constexpr std::size_t kLongBodyBytes = std::size_t{64} << 20;
+constexpr auto kIdleTime = std::chrono::milliseconds(50);
+
+// Guards against a part of a reply that is taken for all of it, because the
+// server resets the connection while the request is being written.
+TEST(HttpClientTest, ResetDuringTheRequestIsNoEndOfTheReply) {
+  boost::asio::io_context context;
+  bool is_request_begun = false;
+  RawTarget server(context, [&is_request_begun](RawPeer& peer) {
+    is_request_begun = true;
+    peer.Pause();
+    peer.Send("HTTP/1.1 200 OK\r\n\r\nbegun");
+  });
+  HttpClientSettings settings;
+  settings.server = server.endpoint();
+  settings.timeout = kLimit;
+  HttpClient client(context, settings);
+  HttpRequest request(boost::beast::http::verb::put, "/", 11);
+  request.body() = std::string(kLongBodyBytes, 'x');
+  std::optional<HttpReply> reply;
+  client.Send(std::move(request),
+              [&reply](HttpReply got) { reply = std::move(got); });
+  ASSERT_TRUE(RunUntil(context, [&] { return is_request_begun; }));
+  while (context.run_one_for(kIdleTime) > 0) {
+  }
+  ASSERT_FALSE(reply);
+  server.peer(0).Reset();
+  ASSERT_TRUE(RunUntil(
+      context, [&reply] { return reply.has_value(); }, kLimit / 2));
+  EXPECT_EQ(reply->delivery, HttpDelivery::kUnknown) << reply->status;
+}
+
 }  // namespace
 }  // namespace bulrushmount::testing
--- a/source/unit_tests/core/transport/node_driver_test.cc
+++ b/source/unit_tests/core/transport/node_driver_test.cc
@@ -425,6 +425,22 @@
                            "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r", true}),
     [](const auto& info) { return info.param.name; });
 
+// Guards against a report that is read from an answer whose connection is reset
+// before its end.
+TEST(ProberTest, ResetInTheAnswerFailsTheProbe) {
+  boost::asio::io_context context;
+  RecordingSink events;
+  RawTarget probed(context, [](RawPeer& peer) {
+    peer.Send("HTTP/1.1 200 OK\r\n\r\nbegun");
+    peer.Reset();
+  });
+  Prober prober(context.get_executor(), "/health", events);
+  const TimePoint later = Now() + 2 * kLimit;
+  prober.Send(SendProbe{ProbeId(1), probed.endpoint(), later, later});
+  ASSERT_TRUE(RunUntil(context, [&] { return !events.events.empty(); }));
+  EXPECT_TRUE(std::holds_alternative<ProbeFailed>(events.events[0]));
+}
+
 // Guards against memory that is taken by the answer to a probe: its body goes
 // on without end.
 TEST_F(NodeDriverTest, ProbeWithALongAnswerFailsBeforeItsEnd) {
