--- a/source/unit_tests/core/transport/node_driver_test.cc
+++ b/source/unit_tests/core/transport/node_driver_test.cc
@@ -441,6 +441,21 @@
   EXPECT_TRUE(std::holds_alternative<ProbeFailed>(events.events[0]));
 }
 
+// Guards against a connection that stays open although its target sends bytes
+// that belong to no probe.
+TEST(ProberTest, NoiseOnAnIdleConnectionClosesIt) {
+  boost::asio::io_context context;
+  RecordingSink events;
+  RawTarget probed(context, Always(kHello));
+  Prober prober(context.get_executor(), "/health", events);
+  const TimePoint later = Now() + 2 * kLimit;
+  prober.Send(SendProbe{ProbeId(1), probed.endpoint(), later, later});
+  ASSERT_TRUE(RunUntil(context, [&] { return !events.events.empty(); }));
+  ASSERT_TRUE(std::holds_alternative<ProbeAnswered>(events.events[0]));
+  probed.peer(0).Send("noise");
+  EXPECT_TRUE(RunUntil(context, [&] { return probed.peer(0).is_at_end(); }));
+}
+
 // Guards against memory that is taken by the answer to a probe: its body goes
 // on without end.
 TEST_F(NodeDriverTest, ProbeWithALongAnswerFailsBeforeItsEnd) {
